--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the test command's verdict."""
--- /dev/null
+++ b/cornelgap/call/__init__.py
@@ -0,0 +1,1 @@
+"""The caller library and its command."""
--- /dev/null
+++ b/cornelgap/cfg/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration folder: loading, checking, comparing, publishing."""
--- /dev/null
+++ b/cornelgap/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load: pure modules without network, clock or thread."""
--- /dev/null
+++ b/cornelgap/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: the process that callers' packets reach."""
--- /dev/null
+++ b/cornelgap/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""The micro-kernel: named services and inboxes that also hold sockets."""
--- /dev/null
+++ b/cornelgap/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators use: the command line over library functions."""
--- /dev/null
+++ b/cornelgap/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs between typed messages and bytes; generated modules live here."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside: platform, fabric and targets."""
