--- /dev/null
+++ b/cornelgap/decisions/pauses.py
@@ -0,0 +1,54 @@
+"""Short pauses that let entries share a target's last room in turn.
+
+Load pattern: a full target, asked by six entries.  The entry whose request
+has just ended knows first that there is room, takes it again, and the
+others are shed for ever.  An entry that was shed comes back soon; one that
+was served while others wait at the target holds back a little.
+"""
+
+_SHED_SHARE = 0.25
+_YIELD_SHARE = 0.5
+_FIRST_SHED_S = 0.005
+_LONGEST_S = 0.25
+_MAX_DOUBLINGS = 3
+
+
+class Pause:
+    """Until when a lane sends nothing to its target.
+
+    :param rng: generator for jitter.
+    """
+
+    def __init__(self, rng):
+        """Start without a pause."""
+        self._rng = rng
+        self._sheds = 0
+        self._others_wait = False
+        self.until = float('-inf')
+
+    def lasts(self, now):
+        """Say whether nothing may be sent now."""
+        return now < self.until
+
+    def note_report(self, waiting):
+        """Take in how many requests wait at the target itself."""
+        self._others_wait = waiting > 0
+
+    def note_shed(self, now, took_s):
+        """Hold back before the next try, longer after each one shed.
+
+        :param took_s: mean seconds of a request at this target.
+        """
+        self._sheds = min(self._sheds + 1, _MAX_DOUBLINGS)
+        base = max(_FIRST_SHED_S, _SHED_SHARE * took_s)
+        self._set(now, base * 2 ** (self._sheds - 1))
+
+    def note_ok(self, now, took_s):
+        """Let others go first if some wait; the target stays busy."""
+        self._sheds = 0
+        if self._others_wait:
+            self._set(now, _YIELD_SHARE * took_s)
+
+    def _set(self, now, base):
+        length = base * (0.5 + self._rng.random())
+        self.until = max(self.until, now + min(length, _LONGEST_S))
