--- a/cornelgap/decisions/admission.py
+++ b/cornelgap/decisions/admission.py
@@ -104,8 +104,11 @@
         A refusal may meet another job than the offered one: a caller with
         many waiting gives way to one with few.
         """
-        lane = self._get_lane(job.target)
         step = Step()
+        if job.key in self._lane_of:
+            # A doubled datagram: taken in again it would run twice.
+            return step
+        lane = self._get_lane(job.target)
         if not lane.can_end_in_time(now, job):
             self._refuse(step, now, lane, job, Code.REQ_DEADLINE)
             return step
--- a/cornelgap/decisions/lanes.py
+++ b/cornelgap/decisions/lanes.py
@@ -5,6 +5,9 @@
 queue, and long jobs may only hold their share of the slots.
 """
 
+import heapq
+import itertools
+
 from cornelgap.decisions.averages import Average
 from cornelgap.decisions.ends import CallEnd
 from cornelgap.decisions.fairqueue import FairQueue
@@ -16,6 +19,18 @@
 _WAIT_MARGIN = 1.2
 """A forecast is a mean: a fifth more keeps late answers rare."""
 
+_NEED_FACTOR = 2.0
+"""Twice the mean covers nine of ten requests; a job started with less left
+would hold a slot for an answer that comes too late."""
+
+_REPORT_LIFE_S = 10.0
+"""With few requests a report may be this old and still be the last one."""
+
+_RECHECK_S = 0.1
+
+_HOLD_SHARE = 0.5
+"""Share of its own time that a long job waits for others' long jobs."""
+
 _MAX_NEED_SHARE = 0.5
 """A job is taken to need half of its own time at most: after a slow phase
 the estimate is too high, and only running jobs can correct it."""
@@ -51,6 +66,12 @@
         self._short = _Kind()
         self._long = _Kind()
         self._jobs = {}
+        # Latest starts of waiting jobs, earliest first; jobs that have left
+        # the queue stay until they come up, as finding them costs more.
+        self._expiries = []
+        self._ties = itertools.count()
+        self._others = 0
+        self._reported_at = float('-inf')
         self.resize(slots, long_share)
 
     @property
@@ -82,6 +103,8 @@
         """Let a job wait."""
         self._kind_of(job).queue.push(job)
         self._jobs[job.key] = job
+        entry = (self._latest_start(job), next(self._ties), job)
+        heapq.heappush(self._expiries, entry)
 
     def remove(self, job):
         """Take out a waiting job."""
@@ -97,7 +120,11 @@
         """Free the slot of a job and learn from its end."""
         job = self._jobs.pop(key)
         kind = self._kind_of(job)
-        kind.running.pop(key)
+        if kind.running.pop(key, None) is None:
+            # Its end came twice, or late, after it was offered again; it
+            # must leave the queue, but it says nothing about the target.
+            kind.queue.remove(job)
+            return
         if ended is CallEnd.SHED:
             self._limit.note_shed()
             self._pause.note_shed(now, self._short.took.read(0))
@@ -111,6 +138,8 @@
 
     def note_report(self, now, in_flight, waiting):
         """Take in the load of the target, all entries' together."""
+        self._others = max(0, in_flight + waiting - self.running)
+        self._reported_at = now
         self._limit.note_report(in_flight, waiting)
         self._pause.note_report(waiting)
 
@@ -124,14 +153,12 @@
 
     def take_hopeless(self, now):
         """Take out the waiting jobs that can no longer end in time."""
-        late = [
-            job
-            for kind in (self._short, self._long)
-            for job in kind.queue.list_jobs()
-            if self._latest_start(job) < now
-        ]
-        for job in late:
-            self.remove(job)
+        late = []
+        while self._expiries and self._expiries[0][0] < now:
+            job = heapq.heappop(self._expiries)[-1]
+            if self._waits(job):
+                self.remove(job)
+                late.append(job)
         return late
 
     def take_startable(self, now):
@@ -142,15 +169,20 @@
             while kind.queue and len(kind.running) < limit:
                 if self._pause.lasts(now):
                     break
+                if kind is self._long and self._holds_long(now):
+                    break
                 started.append(self._start(now, kind))
         return started
 
     def next_wake(self, now):
         """Return when something changes without an event, seconds."""
-        jobs = self._short.queue.list_jobs() + self._long.queue.list_jobs()
-        if not jobs:
+        while self._expiries and not self._waits(self._expiries[0][-1]):
+            heapq.heappop(self._expiries)
+        if not self._expiries:
             return None
-        wake = min(map(self._latest_start, jobs))
+        wake = self._expiries[0][0]
+        if self._long.queue:
+            wake = min(wake, max(now + _RECHECK_S, self._read_hold_end()))
         if self._pause.lasts(now):
             wake = min(wake, self._pause.until)
         return max(now, wake)
@@ -163,6 +195,10 @@
             if kind.queue or kind.running
         )
 
+    def _waits(self, job):
+        known = self._jobs.get(job.key) is job
+        return known and job.key not in self._kind_of(job).running
+
     def _kind_of(self, job):
         return self._long if job.long_job else self._short
 
@@ -170,12 +206,28 @@
         return self._long_limit if kind is self._long else self._limit.read()
 
     def _need(self, job):
-        took = self._kind_of(job).took.read(0)
+        took = _NEED_FACTOR * self._kind_of(job).took.read(0)
         return min(took, _MAX_NEED_SHARE * (job.deadline - job.arrived))
 
     def _latest_start(self, job):
         return job.deadline - self._need(job)
 
+    def _holds_long(self, now):
+        # Six entries, each within its own limit, could fill all slots with
+        # long jobs.  What others have at the target may be one: wait for a
+        # report that shows room, but not for ever.
+        if now - self._reported_at > _REPORT_LIFE_S:
+            return False
+        if self._others + len(self._long.running) < self._long_limit:
+            return False
+        return now < self._read_hold_end()
+
+    def _read_hold_end(self):
+        return min(
+            job.arrived + _HOLD_SHARE * (job.deadline - job.arrived)
+            for job in self._long.queue.list_jobs()
+        )
+
     def _start(self, now, kind):
         job = kind.queue.pop()
         kind.running[job.key] = now
--- a/cornelgap/decisions/limits.py
+++ b/cornelgap/decisions/limits.py
@@ -11,7 +11,7 @@
 _UP_ON_OK = 0.1
 _UP_ON_ROOM = 0.5
 _DOWN_ON_SHED = 0.5
-_DOWN_ON_QUEUE = 0.8
+_DOWN_ON_QUEUE = 0.95
 
 
 class SlotLimit:
@@ -21,9 +21,9 @@
     """
 
     def __init__(self, slots):
-        """Start at one: a burst then meets six requests, not all at once."""
+        """Start at all slots: an entry that has work alone loses none."""
         self._slots = max(1, slots)
-        self._value = _FLOOR
+        self._value = float(self._slots)
 
     def read(self):
         """Return the limit, a whole number of requests."""
--- a/cornelgap/decisions/pauses.py
+++ b/cornelgap/decisions/pauses.py
@@ -6,11 +6,14 @@
 was served while others wait at the target holds back a little.
 """
 
-_SHED_SHARE = 0.25
+_SHED_SHARE = 0.1
+"""Share of a request's time before the next try.  Longer pauses, doubled
+with each shed, let entries that are served keep the slots: see the table
+in docs/DECISIONS.md."""
+
 _YIELD_SHARE = 0.5
-_FIRST_SHED_S = 0.005
+_SHORTEST_S = 0.005
 _LONGEST_S = 0.25
-_MAX_DOUBLINGS = 3
 
 
 class Pause:
@@ -22,7 +25,6 @@
     def __init__(self, rng):
         """Start without a pause."""
         self._rng = rng
-        self._sheds = 0
         self._others_wait = False
         self.until = float('-inf')
 
@@ -35,17 +37,14 @@
         self._others_wait = waiting > 0
 
     def note_shed(self, now, took_s):
-        """Hold back before the next try, longer after each one shed.
+        """Hold back before the next try.
 
         :param took_s: mean seconds of a request at this target.
         """
-        self._sheds = min(self._sheds + 1, _MAX_DOUBLINGS)
-        base = max(_FIRST_SHED_S, _SHED_SHARE * took_s)
-        self._set(now, base * 2 ** (self._sheds - 1))
+        self._set(now, max(_SHORTEST_S, _SHED_SHARE * took_s))
 
     def note_ok(self, now, took_s):
         """Let others go first if some wait; the target stays busy."""
-        self._sheds = 0
         if self._others_wait:
             self._set(now, _YIELD_SHARE * took_s)
 
--- a/cornelgap/decisions/placement.py
+++ b/cornelgap/decisions/placement.py
@@ -10,9 +10,11 @@
 
 import enum
 import math
+import statistics
 from dataclasses import dataclass
 
 from cornelgap.core.settings import TargetMode
+from cornelgap.decisions.ends import CallEnd
 from cornelgap.decisions.health import Health, HealthState
 from cornelgap.decisions.pacing import Pacer
 from cornelgap.decisions.slowstart import compute_share
@@ -22,10 +24,15 @@
 """How much one request in flight per slot counts against a mean share of
 flows; measured in docs/DECISIONS.md."""
 
-_ZONE_COST = 0.05
+_ZONE_COST = 0.02
 """What another zone costs, in mean shares of flows: 0.5 ms more each way
 against 3 ms to the caller, so it decides only between near equals."""
 
+_MIN_SLOWNESS = 1.5
+"""Ten requests vary by this much without a cause."""
+
+_MAX_SLOWNESS = 8.0
+
 _PANIC_SHARE = 0.5
 """Fewer trusted targets than this share: spread over all of them."""
 
@@ -142,6 +149,8 @@
         load = self._loads.get(target)
         if load is not None:
             load.note_in_flight(now, -1)
+            if ended in _TELLING_ENDS:
+                load.took.add(took_s)
             self._health.note_end(target, now, ended)
 
     def note_report(self, target, now, in_flight, waiting, slots, draining):
@@ -272,8 +281,10 @@
         mean_flows = max(flows / slots, 1 / slots)
         others = sum(load.others for load in loads.values()) / slots
         scores = {}
+        usual_took = self._read_usual_took(loads)
         for name, load in loads.items():
-            share = load.slots * self._read_share(name, now)
+            slowness = _rate_slowness(load, usual_took)
+            share = load.slots * self._read_share(name, now) / slowness
             busy = load.estimate(now, others * load.slots) / load.slots
             score = (load.flows + 1) / share / mean_flows
             score += _LOAD_WEIGHT * busy
@@ -282,6 +293,10 @@
             scores[name] = score
         return scores
 
+    def _read_usual_took(self, loads):
+        known = [load.took.read(0) for load in loads.values()]
+        return statistics.median(known) if all(known) else 0
+
     def _choose_escapes(self, now, limit):
         moves = []
         usable = set(self._list_usable(now, _NOBODY))
@@ -329,4 +344,17 @@
         return [Move(highest, lowest)]
 
 
+def _rate_slowness(load, usual_took):
+    """Return how many times slower than usual a target answers, 1 to 8.
+
+    Its flows then count as that many: a slow target, a cold one, or one
+    with a hot flow, gets fewer new flows and gives up some that it has.
+    """
+    if not usual_took:
+        return 1.0
+    ratio = load.took.read(usual_took) / usual_took
+    return min(ratio, _MAX_SLOWNESS) if ratio > _MIN_SLOWNESS else 1.0
+
+
+_TELLING_ENDS = frozenset((CallEnd.OK, CallEnd.TIMEOUT))
 _STAYING = frozenset((TargetState.ACTIVE, TargetState.COLD))
--- a/cornelgap/decisions/targetload.py
+++ b/cornelgap/decisions/targetload.py
@@ -1,11 +1,14 @@
 """What one entry knows of one target's load, first-hand and reported."""
 
-from cornelgap.decisions.averages import decay_share
+from cornelgap.decisions.averages import Average, decay_share
 
 _REPORT_HALF_LIFE_S = 2.0
 """A report speaks of requests that end within a second; two seconds later
 half of it is a guess, and the mean of all targets is the better one."""
 
+_TOOK_SHARE = 0.1
+"""Ten requests tell a slow target from a few slow requests."""
+
 _MAX_REPORTED_PER_SLOT = 4
 """A report beyond this is wrong or changes nothing."""
 
@@ -25,6 +28,7 @@
         self.in_flight = 0
         self.others = float(0)
         self.reports_draining = False
+        self.took = Average(_TOOK_SHARE)
         self._reported_at = None
 
     def note_in_flight(self, now, change):
