--- a/cornelgap/decisions/placement.py
+++ b/cornelgap/decisions/placement.py
@@ -284,7 +284,10 @@
         usual_took = self._read_usual_took(loads)
         for name, load in loads.items():
             slowness = _rate_slowness(load, usual_took)
-            share = load.slots * self._read_share(name, now) / slowness
+            share = load.slots / slowness
+            # An ejected target is only here when panic spreads flows.
+            if self._read_state(name, now) is not TargetState.EJECTED:
+                share *= self._read_share(name, now)
             busy = load.estimate(now, others * load.slots) / load.slots
             score = (load.flows + 1) / share / mean_flows
             score += _LOAD_WEIGHT * busy
@@ -331,9 +334,11 @@
         scores = self._score(now, names)
         highest = max(names, key=scores.get)
         lowest = min(names, key=scores.get)
-        mean = sum(scores.values()) / len(scores)
-        bound = mean * (1 + _TOLERANCE / self._weight)
-        if scores[highest] <= bound or self._loads[highest].flows < 2:
+        # From highest to lowest, as a joined target is far below the mean
+        # while the others are hardly above it.
+        gap = scores[highest] - scores[lowest]
+        bound = _TOLERANCE / self._weight
+        if gap <= bound or self._loads[highest].flows < 2:
             self._imbalanced_since = None
             return []
         if self._imbalanced_since is None:
