See each guard of the decisions red without it

Slow target now asks for 90% of the best bound, hot key for an imbalance of at most 1.3, and one entry's long jobs must leave a slot; both guards are red without them now.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -103,6 +103,14 @@
     And decided jobs that take 30 seconds
     Then a decided job offered to the idle target starts
 
+  Scenario: Long jobs leave a slot to short ones
+    Downloads hold every slot of a target for seconds, and refinements of a
+    tenth of a second wait behind them.
+
+    Given a decision on admission with a queue of 64
+    When 3 long decided jobs and 1 short one are offered
+    Then 1 long and 1 short decided job start
+
   Scenario: A doubled offer starts once
     The fabric doubles a datagram, and a hold would book an aircraft twice.
 
--- a/features/decisions_load.feature
+++ b/features/decisions_load.feature
@@ -53,6 +53,7 @@
 
     When decisions meet "hot key" at "<site>"
     Then decisions do more useful work than "round robin"
+    And decisions keep the imbalance of work within 1.3
     And decisions answer nothing after its deadline
 
     Examples:
@@ -66,6 +67,7 @@
 
     When decisions meet "slow target" at "<site>"
     Then decisions do more useful work than "round robin"
+    And decisions do at least 90% of the work of the best bound
     And decisions answer nothing after its deadline
 
     Examples:
--- a/features/steps/decision_load_steps.py
+++ b/features/steps/decision_load_steps.py
@@ -4,6 +4,7 @@
 
 from behave import then, when
 
+from features.decision_loop.bounds import bound_good_work
 from features.decision_loop.comparison import run_pattern
 from features.decision_loop.outcomes import Outcome, measure_imbalance
 
@@ -60,6 +61,13 @@
         assert sum_work(ours) > sum_work(naive)
 
 
+@then('decisions do at least {percent:d}% of the work of the best bound')
+def check_bound(context, percent):
+    for world in run_all(context):
+        share = sum_work(world) / bound_good_work(world.plan)
+        assert share >= percent / 100, share
+
+
 @then('decisions leave under {percent:d}% of the requests in doubt')
 def check_doubt(context, percent):
     for world in run_all(context):
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -249,6 +249,18 @@
         take_step(context, context.admission.offer(context.now, job))
 
 
+@when('{longs:d} long decided jobs and 1 short one are offered')
+def offer_long(context, longs):
+    for number in range(longs + 1):
+        job = make_job(context, 'one', long_job=number < longs)
+        take_step(context, context.admission.offer(context.now, job))
+
+
+@then('1 long and 1 short decided job start')
+def check_long_share(context):
+    assert [job.long_job for job in context.started] == [True, False]
+
+
 @when('the same decided job is offered twice')
 def offer_twice(context):
     job = make_job(context, 'one')
