--- a/cornelgap/core/token.py
+++ b/cornelgap/core/token.py
@@ -19,6 +19,7 @@
 TAG_BYTES = 16
 _HEAD = struct.Struct('>BQQIQ16sBBB')
 _KEY_ID_AT = 0
+_FLOW_AT = 29
 
 
 @dataclass(slots=True)
@@ -125,6 +126,19 @@
     return _decode_body(body)
 
 
+def peek_flow(data):
+    """Read the flow id of a token that need not be genuine.
+
+    A refusal repeats it, so that only whoever knows the flow id can make a
+    caller believe a refusal.
+
+    :returns: 16 bytes, or none if the token is too short.
+    """
+    if len(data) < _HEAD.size:
+        return b''
+    return data[_FLOW_AT : _FLOW_AT + 16]
+
+
 def _decode_body(body):
     head = _HEAD.unpack_from(body)
     _, epoch, boot, revision, expiry, flow, *lengths = head
