--- /dev/null
+++ b/features/proofs/__init__.py
@@ -0,0 +1,1 @@
+"""Fixtures of the proofs: checkers, naive models and the in-process world."""
