--- a/cornelgap/entry/engine.py
+++ b/cornelgap/entry/engine.py
@@ -55,13 +55,14 @@
         routing.handle_caller(self.state, now, data, address)
         return self.state.take_effects()
 
-    def handle_peer(self, now, data):
+    def handle_peer(self, now, data, source=''):
         """Take a datagram of another entry instance.
 
+        :param source: ``host:port`` that it came from.
         :returns: effects.
         """
         state = self.state
-        peer = peering.open_peer_datagram(state, now, data)
+        peer = peering.open_peer_datagram(state, now, data, source)
         if peer is not None:
             address = (peer.caller_host, peer.caller_port)
             routing.handle_caller(state, now, peer.payload, address, peer.hops)
--- a/cornelgap/entry/peering.py
+++ b/cornelgap/entry/peering.py
@@ -55,7 +55,7 @@
     )
 
 
-def open_peer_datagram(state, now, data):
+def open_peer_datagram(state, now, data, source):
     """Check a peer's datagram, note its facts, answer if it asks.
 
     :returns: the relayed datagram if it is one, else None.
@@ -66,7 +66,13 @@
         count_event(state, f'peer_refused_{exc.code}')
         return None
     state.membership.note_heard(
-        now, peer.sender, peer.boot, peer.revision, peer.leaving, peer.api
+        now,
+        peer.sender,
+        peer.boot,
+        peer.revision,
+        peer.leaving,
+        peer.api,
+        source,
     )
     if peer.kind != pb.ALIVE:
         _answer_alive(state, now, peer.sender, forced=peer.kind == pb.PING)
