--- /dev/null
+++ b/cornelgap/entry/settings.py
@@ -0,0 +1,116 @@
+"""Settings of one entry instance, read from an INI file and checked.
+
+A process learns its own addresses and availability zone from here; what
+services and targets there are comes with the configuration in force.
+"""
+
+import configparser
+from dataclasses import dataclass
+
+import pydantic
+
+from cornelgap.core.errors import Code, CodedError
+
+SECTION = 'instance'
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='allow', frozen=True)
+
+    name: str = pydantic.Field(min_length=1, max_length=64)
+    zone: str = pydantic.Field(min_length=1, max_length=64)
+    public: str
+    private: str
+    api: str
+    admin: str = '127.0.0.1:0'
+    metrics: str = ''
+    platform: str
+
+    @pydantic.field_validator('public', 'private', 'api', 'platform', 'admin')
+    @classmethod
+    def check_address(cls, text):
+        """Check ``host:port``."""
+        host, colon, port = text.rpartition(':')
+        if not host or not colon or not port.isdigit():
+            raise ValueError('expected HOST:PORT')
+        return text
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Checked settings of an entry instance.
+
+    :param public: ``host:port`` of the socket for callers.
+    :param private: ``host:port`` of the socket for peers' datagrams.
+    :param api: ``host:port`` of the gRPC server for peers.
+    :param admin: ``host:port`` of the administration API.
+    :param metrics: ``host:port`` for metrics and health, empty for none.
+    :param platform: ``host:port`` of the platform's object service.
+    :param sections: all other sections, option by name, for the parts that
+        check their own (``tls``, ``logs``).
+    """
+
+    name: str
+    zone: str
+    public: str
+    private: str
+    api: str
+    admin: str
+    metrics: str
+    platform: str
+    sections: dict
+
+
+def load_settings(path):
+    """Load and check a settings file, going on past the first error.
+
+    :param path: INI file with a section ``[instance]``.
+    :returns: (settings or None, list of :class:`CodedError`).
+    """
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        with open(path, encoding='utf-8') as source:
+            parser.read_file(source)
+    except (OSError, UnicodeDecodeError) as exc:
+        return None, [CodedError(Code.CFG_UNREADABLE, str(exc), str(path))]
+    except configparser.Error as exc:
+        return None, [CodedError(Code.CFG_SYNTAX, exc.message, str(path))]
+    if not parser.has_section(SECTION):
+        text = f'section [{SECTION}] is missing'
+        return None, [CodedError(Code.CFG_MISSING_OPTION, text, str(path))]
+    return _check_options(path, parser)
+
+
+def _check_options(path, parser):
+    options = dict(parser[SECTION])
+    known = _Model.model_fields
+    errors = [
+        CodedError(
+            Code.CFG_UNKNOWN_OPTION,
+            f'known are {", ".join(sorted(known))}',
+            f'{path} [{SECTION}] {name}',
+        )
+        for name in options
+        if name not in known
+    ]
+    try:
+        model = _Model.model_validate(options)
+    except pydantic.ValidationError as exc:
+        errors += [_convert_error(path, item) for item in exc.errors()]
+    if errors:
+        return None, errors
+    fields = {name: getattr(model, name) for name in known}
+    sections = {
+        name: dict(parser[name])
+        for name in parser.sections()
+        if name != SECTION
+    }
+    return Settings(**fields, sections=sections), []
+
+
+def _convert_error(path, item):
+    option = '.'.join(str(part) for part in item['loc'])
+    code = Code.CFG_BAD_VALUE
+    if item['type'] == 'missing':
+        code = Code.CFG_MISSING_OPTION
+    return CodedError(code, item['msg'], f'{path} [{SECTION}] {option}')
