Pack callers' addresses and intern names in flows

Change: names interned, address packed. Ruled out: dropping the address, since answers of a target need it.

--- a/cornelgap/entry/handover.py
+++ b/cornelgap/entry/handover.py
@@ -9,6 +9,7 @@
 the flow and relays what still comes for it.
 """
 
+import sys
 from dataclasses import dataclass
 
 from cornelgap.core import messages as msg
@@ -24,6 +25,7 @@
     Kept,
     count_event,
     make_key,
+    pack_address,
     split_key,
 )
 from cornelgap.wire import peer_pb2 as pb
@@ -144,6 +146,7 @@
 
 def _build_record(state, now, flow):
     flow_id, epoch = split_key(flow.key)
+    host, port = flow.address
     record = pb.FlowRecord(
         flow_id=flow_id,
         service=flow.service,
@@ -151,8 +154,8 @@
         epoch=epoch,
         top=flow.top,
         seen=encode_seen(flow.seen),
-        caller_host=flow.address[0],
-        caller_port=flow.address[1],
+        caller_host=host,
+        caller_port=port,
         token_left_ms=int(max(0, flow.expiry - now) * 1000),
     )
     for kept in (flow.kept or {}).values():
@@ -217,9 +220,9 @@
 def _take_record(state, now, key, record):
     flow = Flow(
         key=key,
-        service=record.service,
-        target=record.target,
-        address=(record.caller_host, record.caller_port),
+        service=sys.intern(record.service),
+        target=sys.intern(record.target),
+        caller=pack_address((record.caller_host, record.caller_port)),
         expiry=now + record.token_left_ms / 1000,
         top=record.top,
         seen=decode_seen(record.seen),
--- a/cornelgap/entry/routing.py
+++ b/cornelgap/entry/routing.py
@@ -4,6 +4,8 @@
 datagram whose route is not known for certain is refused openly.
 """
 
+import sys
+
 from cornelgap.core import messages as msg
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.token import (
@@ -23,7 +25,7 @@
     refuse_datagram,
     send_message,
 )
-from cornelgap.entry.state import Flow, count_event, make_key
+from cornelgap.entry.state import Flow, count_event, make_key, pack_address
 from cornelgap.wire.caller_codec import decode_datagram
 
 BEHIND_RETRY_MS = 200
@@ -169,7 +171,7 @@
         flow = _create_flow(state, now, message, token, address, size)
         if flow is None:
             return
-    flow.address = address
+    flow.caller = pack_address(address)
     if not _is_home(state, token):
         send_moved_here(state, now, flow)
     else:
@@ -190,11 +192,12 @@
         refuse_datagram(state, address, message, size, code, BEHIND_RETRY_MS)
         return None
     key = make_key(token.flow, token.epoch)
+    # Names are interned: hundreds of thousands of flows share a few.
     flow = Flow(
         key=key,
-        service=token.service,
-        target=token.target,
-        address=address,
+        service=sys.intern(token.service),
+        target=sys.intern(token.target),
+        caller=pack_address(address),
         expiry=token.expiry,
     )
     state.flows[key] = flow
--- a/cornelgap/entry/state.py
+++ b/cornelgap/entry/state.py
@@ -88,6 +88,8 @@
     """What the home keeps of one flow in one id space.
 
     :param key: flow id and epoch, 24 bytes.
+    :param caller: the caller's address, packed by :func:`pack_address`; a
+        pair of host and port would take 100 bytes more for each flow.
     :param top: highest request number seen.
     :param seen: bitmap of the numbers below it.
     :param expiry: when its newest token expires, seconds on this clock.
@@ -98,7 +100,7 @@
     key: bytes
     service: str
     target: str
-    address: tuple
+    caller: bytes
     expiry: float
     top: int = 0
     seen: int = 0
@@ -108,6 +110,12 @@
     renew: bool = False
     closed: bool = False
 
+    @property
+    def address(self):
+        """Give the caller's address as ``(host, port)``."""
+        host, _, port = self.caller.decode().rpartition(':')
+        return host, int(port)
+
 
 @dataclass(slots=True)
 class Call:
@@ -232,6 +240,11 @@
     return key[:16], int.from_bytes(key[16:], 'big')
 
 
+def pack_address(address):
+    """Pack a caller's address ``(host, port)`` for keeping in a flow."""
+    return f'{address[0]}:{address[1]}'.encode()
+
+
 def count_event(state, name):
     """Count something for the metrics."""
     state.counters[name] += 1
