Keep the configuration in force the newest, and the instance list a hint

Cause: nothing brought a published configuration to the entries. CfgRequest carries the digests of known parts, so that a change costs its parts, not the bundle.

Ruled out: every instance watching (690 waiting watches and 690 reads of each change), reading the instance list every 2 s at any size (400 KB a reading at the design size; the wait grows with the last answer, and an unknown peer causes an early reading).

The engine tells membership of an adoption, so that peers hear of a new revision by the next pings and not a second later (one line in the engine).

--- a/cornelgap/core/control.py
+++ b/cornelgap/core/control.py
@@ -1,4 +1,4 @@
-"""Typed messages between the packet actor and the control actors.
+"""Plain data that the control parts share.
 
 Control is everything that is not a caller's packet: which configuration is
 in force, which entry instances there are, and a planned stop.
@@ -26,32 +26,33 @@
 
 
 @dataclass(frozen=True, slots=True)
-class InstancesListed:
-    """The platform's list of entry instances has been read."""
+class PeerRevision:
+    """A peer states a configuration revision.
 
-    instances: tuple
-
-
-@dataclass(frozen=True, slots=True)
-class AdoptCfg:
-    """Put a configuration in force; its revision is higher than before.
-
-    :param cfg: :class:`cornelgap.core.settings.Cfg`.
-    :param bundle: the bytes that it was decoded from.
+    :param api: ``host:port`` of the peer's gRPC server, empty if unknown.
     """
 
-    cfg: object
-    bundle: bytes
+    name: str
+    api: str
+    revision: int
 
 
 @dataclass(frozen=True, slots=True)
-class RevisionHeard:
-    """A peer, or a token, states a revision.
-
-    :param name: the peer, empty if a token stated it.
-    :param api: ``host:port`` of the peer's gRPC server, empty if unknown.
+class ControlView:
+    """What the packet actor knows that the control actors act upon.
+
+    :param revision: configuration revision in force.
+    :param ahead: :class:`PeerRevision` of peers that state a higher one.
+    :param behind_signs: packets so far that hint at being behind: a token
+        of a higher revision, a key that is not known here.
+    :param unknown_peers: whether something was to go to a peer of which no
+        address is known.
+    :param live: :class:`Instance` items that are alive, without this one;
+        None if not looked at this time.
     """
 
-    name: str
-    api: str
     revision: int
+    ahead: tuple = ()
+    behind_signs: int = 0
+    unknown_peers: bool = False
+    live: tuple | None = None
--- a/cornelgap/decisions/membership.py
+++ b/cornelgap/decisions/membership.py
@@ -19,6 +19,8 @@
 import random
 from dataclasses import dataclass, field
 
+from cornelgap.core.control import Instance, PeerRevision
+
 PING_EVERY_S = 1.0
 """A peer that was heard from within this time is not asked."""
 
@@ -84,6 +86,9 @@
         self._peers = {}
         self._tokens = PING_RATE
         self._turn_at = None
+        self._revision = 0
+        self._top_revision = 0
+        self._news_at = float('-inf')
 
     @classmethod
     def from_settings(cls, own, zone, rng=None):
@@ -133,6 +138,7 @@
             peer.past_boots = [*peer.past_boots, peer.boot][-PAST_BOOTS:]
         peer.boot = boot
         peer.revision = revision
+        self._top_revision = max(self._top_revision, revision)
         peer.leaving = leaving
         peer.api = api or peer.api
         peer.address = address or peer.address
@@ -140,6 +146,15 @@
         peer.asked_at = None
         peer.asks = 0
 
+    def note_adopted(self, now, revision):
+        """Note that this instance has a new revision in force.
+
+        Peers that state an older one are told by the next pings instead of
+        a second later.
+        """
+        self._revision = revision
+        self._news_at = now
+
     def note_sent(self, now, name):
         """Note that something was sent to a peer that it must answer."""
         if name != self.own:
@@ -196,6 +211,30 @@
             and not self._is_silent(now, peer)
         )
 
+    def list_live_instances(self, now):
+        """List the peers of :meth:`list_live` as :class:`Instance`."""
+        peers = (self._peers[name] for name in self.list_live(now))
+        return [
+            Instance(peer.name, peer.zone, peer.address, peer.api)
+            for peer in peers
+        ]
+
+    def list_ahead(self, revision):
+        """List peers that state a higher revision, as `PeerRevision`."""
+        if self._top_revision <= revision:
+            return []
+        return [
+            PeerRevision(peer.name, peer.api, peer.revision)
+            for peer in self._peers.values()
+            if peer.revision > revision
+        ]
+
+    def has_unknown(self):
+        """Say whether a peer that was to be reached has no address here."""
+        return any(
+            peer.asks and not peer.address for peer in self._peers.values()
+        )
+
     def list_peers(self):
         """List all known peers as :class:`Peer`, in the order of names."""
         return [self._peers[name] for name in sorted(self._peers)]
@@ -205,6 +244,11 @@
         peer = self._peers.get(name)
         return peer.address if peer else ''
 
+    def find_api(self, name):
+        """Find ``host:port`` of a peer's gRPC server; empty if unknown."""
+        peer = self._peers.get(name)
+        return peer.api if peer else ''
+
     def _get_peer(self, now, name):
         peer = self._peers.get(name)
         if peer is None:
@@ -231,6 +275,8 @@
     def _is_due(self, now, peer):
         if self._owes(now, peer):
             return now - peer.last_ask_at >= SUSPECT_EVERY_S
+        if peer.revision < self._revision and peer.last_ask_at < self._news_at:
+            return True
         return now - self._find_contact(peer) >= PING_EVERY_S
 
     def _owes(self, now, peer):
--- a/cornelgap/entry/engine.py
+++ b/cornelgap/entry/engine.py
@@ -97,7 +97,8 @@
 
         :returns: effects.
         """
-        adopt_cfg(self.state, now, cfg)
+        if adopt_cfg(self.state, now, cfg):
+            self.state.membership.note_adopted(now, cfg.revision)
         return self.state.take_effects()
 
     def note_instances(self, now, entries, leaving_targets):
--- /dev/null
+++ b/cornelgap/entry/peer_server.py
@@ -0,0 +1,84 @@
+"""gRPC server for other entry instances.
+
+It holds nothing itself: the configuration comes from the configuration
+actor, and flow records go to the packet actor.  Both are asked without
+blocking the loop, and within a bounded time, because a peer that waits
+without end would never hand its flows to somebody else.
+"""
+
+import asyncio
+
+import grpc
+import pykka
+from grpc import aio
+
+from cornelgap.entry.peer_clients import MAX_MESSAGE_BYTES
+from cornelgap.wire import peer_pb2, peer_pb2_grpc
+
+ANSWER_S = 1.5
+"""Longest wait for an actor, in seconds; below the peer's own wait."""
+
+SERVER_OPTIONS = (
+    ('grpc.so_reuseport', 0),
+    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+)
+
+
+class PeerService(peer_pb2_grpc.PeerServicer):
+    """What peers may ask.
+
+    :param ask_cfg: takes a set of part digests and returns a pykka future
+        of (revision, trimmed bundle).
+    :param take_handover: takes flow records and returns a pykka future of
+        the number of flows that are owned here now.
+    """
+
+    def __init__(self, boot, ask_cfg, take_handover):
+        """Serve for the process with this boot nonce."""
+        self._boot = boot
+        self._ask_cfg = ask_cfg
+        self._take_handover = take_handover
+
+    async def FetchCfg(self, request, context):
+        """Give the configuration in force, without known parts."""
+        known = frozenset(request.known_parts)
+        revision, bundle = await _await_actor(
+            context, self._ask_cfg, known, request.known_revision
+        )
+        return peer_pb2.CfgReply(revision=revision, document=bundle)
+
+    async def Handover(self, request, context):
+        """Take flows of a peer that leaves."""
+        taken = await _await_actor(
+            context, self._take_handover, list(request.flows)
+        )
+        return peer_pb2.HandoverReply(boot=self._boot, taken=taken)
+
+
+async def start_peer_server(service, address, credentials=None):
+    """Start the server; call it in the loop's thread.
+
+    :param address: ``host:port``, port 0 lets the kernel choose.
+    :param credentials: gRPC server credentials, None for no TLS.
+    :returns: (server, port).
+    """
+    server = aio.server(options=SERVER_OPTIONS)
+    peer_pb2_grpc.add_PeerServicer_to_server(service, server)
+    if credentials is None:
+        port = server.add_insecure_port(address)
+    else:
+        port = server.add_secure_port(address, credentials)
+    await server.start()
+    return server, port
+
+
+async def _await_actor(context, ask, *args):
+    loop = asyncio.get_running_loop()
+    try:
+        fut = ask(*args)
+        return await loop.run_in_executor(None, fut.get, ANSWER_S)
+    except pykka.Timeout:
+        await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, 'busy')
+    except pykka.ActorDeadError:
+        await context.abort(grpc.StatusCode.UNAVAILABLE, 'stopping')
--- a/cornelgap/kernel/loops.py
+++ b/cornelgap/kernel/loops.py
@@ -8,8 +8,40 @@
 """
 
 import asyncio
+import logging
 import threading
 
+_LOG = logging.getLogger('cornelgap.loops')
+
+
+class Timer:
+    """Calls a plain function again and again in the loop's thread."""
+
+    def __init__(self, loop, seconds, func):
+        """Prepare the timer; :meth:`start` belongs to the loop's thread."""
+        self._loop = loop
+        self._seconds = seconds
+        self._func = func
+        self._handle = None
+        self._cancelled = False
+
+    def start(self):
+        """Call the function now and after each interval."""
+        if self._cancelled:
+            return
+        self._handle = self._loop.call_later(self._seconds, self.start)
+        try:
+            self._func()
+        except Exception:
+            # One broken turn must not end all later ones unnoticed.
+            _LOG.exception('loops: timer broke')
+
+    def cancel(self):
+        """Stop calling; from the loop's thread."""
+        self._cancelled = True
+        if self._handle is not None:
+            self._handle.cancel()
+
 
 class LoopThread:
     """A thread that owns an asyncio loop."""
@@ -43,6 +75,20 @@
             return False
         return True
 
+    def call_every(self, seconds, func):
+        """Call a plain function again and again, first at once.
+
+        :param func: must not block.
+        :returns: a function that ends it, from any thread.
+        """
+        timer = Timer(self.loop, seconds, func)
+        self.call(timer.start)
+
+        def cancel():
+            self.call(timer.cancel)
+
+        return cancel
+
     def submit(self, coro):
         """Start a coroutine; its result comes as a concurrent future."""
         return asyncio.run_coroutine_threadsafe(coro, self.loop)
