--- a/cornelgap/decisions/membership.py
+++ b/cornelgap/decisions/membership.py
@@ -57,6 +57,7 @@
     :param heard_at: last time that it was heard, None if never.
     :param asked_at: first ask since it was last heard, None if none.
     :param asks: asks since then that were apart in time.
+    :param doubted_boot: boot that a token named and that was never heard.
     """
 
     name: str
@@ -72,6 +73,8 @@
     last_ask_at: float = float('-inf')
     asks: int = 0
     seen_at: float = 0
+    doubted_boot: int = 0
+    doubted_at: float = 0
     past_boots: list = field(default_factory=list)
 
 
@@ -175,7 +178,7 @@
         if boot and boot in peer.past_boots:
             return True
         if boot and peer.boot and peer.boot != boot:
-            return True
+            return self._is_replaced(now, peer, boot)
         return self._is_silent(now, peer)
 
     def choose_pings(self, now):
@@ -249,6 +252,18 @@
         peer = self._peers.get(name)
         return peer.api if peer else ''
 
+    def _is_replaced(self, now, peer, boot):
+        # A boot that was never heard may be older or newer than the one
+        # that was.  Calling it lost at once would, after each restart, take
+        # live flows away from the new process until its first datagram is
+        # here.  What the name answers from now on decides.
+        if peer.doubted_boot != boot:
+            peer.doubted_boot = boot
+            peer.doubted_at = now
+        if peer.heard_at > peer.doubted_at:
+            return True
+        return self._is_silent(now, peer)
+
     def _get_peer(self, now, name):
         peer = self._peers.get(name)
         if peer is None:
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -35,6 +35,24 @@
     When entry "e2" is heard with another boot
     Then the membership calls the old boot of "e2" lost and the new one live
 
+  Scenario: A boot that was never heard is lost only once its name has answered
+    An entry instance has restarted and opened flows; this one still knows
+    its former process. Calling the new one lost would take live flows away
+    from it after each restart.
+
+    Given a membership of 6 entries, all heard at 0 s
+    Then a token that names a new boot of "e2" does not make it look lost
+    When entry "e2" is heard with the boot that it had
+    Then the membership calls the new boot of "e2" lost
+
+  Scenario: One burst that is lost as a whole makes nobody look dead
+    A full buffer here swallows the packets relayed to all peers at one
+    moment. Were one unanswered ask enough, all flows would be re-homed.
+
+    Given a membership of 40 entries, all heard at 0 s
+    When one burst to all of the membership's entries is lost at 1 s
+    Then the membership calls nobody lost at 2.1 s
+
   Scenario: A late datagram of a replaced process is no sign of life
     A datagram of a process that was replaced arrives late. Believed, it
     would make the live process look lost and move all its flows.
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -147,6 +147,41 @@
     assert name not in context.lost_at, context.lost_at
 
 
+@when('entry "{name}" is heard with the boot that it had')
+def hear_same(context, name):
+    hear(context, 1.2, name, BOOT)
+
+
+@when("one burst to all of the membership's entries is lost at {at:d} s")
+def lose_burst(context, at):
+    context.now = 0
+    while context.now < at + 1.1:
+        context.now = round(context.now + TICK_S, 4)
+        for name in context.members.choose_pings(context.now):
+            if context.now < at:
+                hear(context, context.now, name)
+        if context.now == at:
+            for entry in context.entries[1:]:
+                context.members.note_sent(context.now, entry.name)
+
+
+@then('the membership calls nobody lost at {at:g} s')
+def check_burst(context, at):
+    for entry in context.entries[1:]:
+        assert not context.members.is_lost(at, entry.name, BOOT)
+
+
+@then('a token that names a new boot of "{name}" does not make it look lost')
+def check_new_boot(context, name):
+    for step in range(5):
+        assert not context.members.is_lost(1 + step / 50, name, NEW_BOOT)
+
+
+@then('the membership calls the new boot of "{name}" lost')
+def check_new_boot_lost(context, name):
+    assert context.members.is_lost(1.3, name, NEW_BOOT)
+
+
 @then('the membership calls nobody lost on waking')
 def check_nobody_lost(context):
     for moment in (context.now, context.now + TICK_S):
