--- a/cornelgap/entry/peer_server.py
+++ b/cornelgap/entry/peer_server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 
 import grpc
 import pykka
@@ -77,7 +78,8 @@
     loop = asyncio.get_running_loop()
     try:
         fut = ask(*args)
-        return await loop.run_in_executor(None, fut.get, ANSWER_S)
+        get = functools.partial(fut.get, timeout=ANSWER_S)
+        return await loop.run_in_executor(None, get)
     except pykka.Timeout:
         await context.abort(grpc.StatusCode.DEADLINE_EXCEEDED, 'busy')
     except pykka.ActorDeadError:
