--- a/cornelgap/decisions/membership.py
+++ b/cornelgap/decisions/membership.py
@@ -19,6 +19,8 @@
 import random
 from dataclasses import dataclass, field
 
+from cornelgap.core.control import Instance, PeerRevision
+
 PING_EVERY_S = 1.0
 """A peer that was heard from within this time is not asked."""
 
@@ -55,6 +57,7 @@
     :param heard_at: last time that it was heard, None if never.
     :param asked_at: first ask since it was last heard, None if none.
     :param asks: asks since then that were apart in time.
+    :param doubted_boot: boot that a token named and that was never heard.
     """
 
     name: str
@@ -70,6 +73,8 @@
     last_ask_at: float = float('-inf')
     asks: int = 0
     seen_at: float = 0
+    doubted_boot: int = 0
+    doubted_at: float = 0
     past_boots: list = field(default_factory=list)
 
 
@@ -84,6 +89,9 @@
         self._peers = {}
         self._tokens = PING_RATE
         self._turn_at = None
+        self._revision = 0
+        self._top_revision = 0
+        self._news_at = float('-inf')
 
     @classmethod
     def from_settings(cls, own, zone, rng=None):
@@ -133,6 +141,7 @@
             peer.past_boots = [*peer.past_boots, peer.boot][-PAST_BOOTS:]
         peer.boot = boot
         peer.revision = revision
+        self._top_revision = max(self._top_revision, revision)
         peer.leaving = leaving
         peer.api = api or peer.api
         peer.address = address or peer.address
@@ -140,6 +149,15 @@
         peer.asked_at = None
         peer.asks = 0
 
+    def note_adopted(self, now, revision):
+        """Note that this instance has a new revision in force.
+
+        Peers that state an older one are told by the next pings instead of
+        a second later.
+        """
+        self._revision = revision
+        self._news_at = now
+
     def note_sent(self, now, name):
         """Note that something was sent to a peer that it must answer."""
         if name != self.own:
@@ -160,7 +178,7 @@
         if boot and boot in peer.past_boots:
             return True
         if boot and peer.boot and peer.boot != boot:
-            return True
+            return self._is_replaced(now, peer, boot)
         return self._is_silent(now, peer)
 
     def choose_pings(self, now):
@@ -196,6 +214,30 @@
             and not self._is_silent(now, peer)
         )
 
+    def list_live_instances(self, now):
+        """List the peers of :meth:`list_live` as :class:`Instance`."""
+        peers = (self._peers[name] for name in self.list_live(now))
+        return [
+            Instance(peer.name, peer.zone, peer.address, peer.api)
+            for peer in peers
+        ]
+
+    def list_ahead(self, revision):
+        """List peers that state a higher revision, as `PeerRevision`."""
+        if self._top_revision <= revision:
+            return []
+        return [
+            PeerRevision(peer.name, peer.api, peer.revision)
+            for peer in self._peers.values()
+            if peer.revision > revision
+        ]
+
+    def has_unknown(self):
+        """Say whether a peer that was to be reached has no address here."""
+        return any(
+            peer.asks and not peer.address for peer in self._peers.values()
+        )
+
     def list_peers(self):
         """List all known peers as :class:`Peer`, in the order of names."""
         return [self._peers[name] for name in sorted(self._peers)]
@@ -205,6 +247,23 @@
         peer = self._peers.get(name)
         return peer.address if peer else ''
 
+    def find_api(self, name):
+        """Find ``host:port`` of a peer's gRPC server; empty if unknown."""
+        peer = self._peers.get(name)
+        return peer.api if peer else ''
+
+    def _is_replaced(self, now, peer, boot):
+        # A boot that was never heard may be older or newer than the one
+        # that was.  Calling it lost at once would, after each restart, take
+        # live flows away from the new process until its first datagram is
+        # here.  What the name answers from now on decides.
+        if peer.doubted_boot != boot:
+            peer.doubted_boot = boot
+            peer.doubted_at = now
+        if peer.heard_at > peer.doubted_at:
+            return True
+        return self._is_silent(now, peer)
+
     def _get_peer(self, now, name):
         peer = self._peers.get(name)
         if peer is None:
@@ -231,6 +290,8 @@
     def _is_due(self, now, peer):
         if self._owes(now, peer):
             return now - peer.last_ask_at >= SUSPECT_EVERY_S
+        if peer.revision < self._revision and peer.last_ask_at < self._news_at:
+            return True
         return now - self._find_contact(peer) >= PING_EVERY_S
 
     def _owes(self, now, peer):
