--- a/cornelgap/cfg/document.py
+++ b/cornelgap/cfg/document.py
@@ -70,7 +70,7 @@
     :param entries: newest audit entries as bytes, oldest first.
     :param segment: digest of the newest audit segment.
     """
-    return _serialize(
+    return seal_root(
         wire.Root(
             format=FORMAT,
             revision=cfg.revision,
@@ -82,6 +82,15 @@
     )
 
 
+def seal_root(root):
+    """Encode a root with a digest by which damage shows.
+
+    :param root: wire Root.
+    """
+    body = _serialize(root)
+    return _serialize(wire.SealedRoot(body=body, digest=digest(body)))
+
+
 def join_bundle(root, parts):
     """Join a root and parts to one value.
 
@@ -111,7 +120,9 @@
     """
     try:
         bundle = wire.Bundle.FromString(data)
-        root = wire.Root.FromString(bundle.root)
+        root, findings = read_root(bundle.root)
+        if findings:
+            return None, findings
         return _build_cfg(root, bundle.parts)
     except (DecodeError, ValueError) as exc:
         return None, [_report_corrupt(f'cannot be decoded: {exc}')]
@@ -150,9 +161,11 @@
     """
     try:
         bundle = wire.Bundle.FromString(data)
-        root = wire.Root.FromString(bundle.root)
     except DecodeError:
         return data
+    root, findings = read_root(bundle.root)
+    if findings:
+        return data
     have = list_parts(older) | list_parts(data)
     parts = [have[address] for address in root.parts if address in have]
     return join_bundle(bundle.root, parts)
@@ -164,9 +177,12 @@
     :return: the wire Root, or None if anything is wrong; and findings.
     """
     try:
-        root = wire.Root.FromString(data)
+        sealed = wire.SealedRoot.FromString(data)
+        root = wire.Root.FromString(sealed.body)
     except DecodeError:
         return None, [_report_corrupt('the root cannot be decoded')]
+    if digest(sealed.body) != sealed.digest:
+        return None, [_report_corrupt('the root is damaged')]
     if root.format != FORMAT:
         return None, [_report_corrupt(f'unknown format {root.format}')]
     return root, []
@@ -204,8 +220,6 @@
 
 
 def _build_cfg(root, parts):
-    if root.format != FORMAT:
-        return None, [_report_corrupt(f'unknown format {root.format}')]
     # A part that was altered or is missing would drop services silently;
     # callers would hear that their service does not exist.
     if [digest(part) for part in parts] != list(root.parts):
--- a/cornelgap/cfg/publishing.py
+++ b/cornelgap/cfg/publishing.py
@@ -165,7 +165,7 @@
             True, '', base.revision, new.write_id, text='nothing to change'
         )
     for name, value in attempt.objects.items():
-        _store_part(store, name, value)
+        _store_part(store, name, value, pause)
     return _write_root(store, attempt, new.write_id, pause)
 
 
@@ -199,26 +199,31 @@
     """
     if not root.revision:
         return Cfg(), b'', []
-    bundle = _fetch_bundle(
-        store, root.SerializeToString(deterministic=True), b''
-    )
+    bundle = _fetch_bundle(store, document.seal_root(root), b'')
     cfg, findings = document.decode_bundle(bundle)
     return cfg, bundle, findings
 
 
-def _store_part(store, name, value):
+def _store_part(store, name, value, pause):
     """Store a content-addressed object; one that exists already is as good.
 
-    A lost answer needs no care here: the same bytes can be written again.
+    A lost answer leaves no doubt here: the same bytes are written again.
+    While no root names the object, nothing has changed, and the writer must
+    not be told that its change may be in force.
     """
-    try:
-        accepted, current = store.put(name, 0, value)
-    except CodedError as exc:
-        if exc.code != Code.PLT_ANSWER_LOST:
-            raise
-        accepted, current = store.put(name, 0, value)
-    if not accepted and (current is None or current.value != value):
-        raise CodedError(Code.PLT_CORRUPT, 'an altered object exists', name)
+    for wait in (0, *_PAUSES_S):
+        if wait:
+            pause(wait)
+        try:
+            accepted, current = store.put(name, 0, value)
+        except CodedError as exc:
+            if exc.code != Code.PLT_ANSWER_LOST:
+                raise
+            continue
+        if not accepted and (current is None or current.value != value):
+            raise CodedError(Code.PLT_CORRUPT, 'an altered object exists', name)
+        return
+    raise CodedError(Code.PLT_DOWN, 'the platform takes no writes', name)
 
 
 def _write_root(store, attempt, write_id, pause):
