Add the demo's bench: processes, deployments, checks

The demo needs something that starts the processes, which the product may not do, and checkers that read only what callers saw and targets ran. Not yet run against entry instances.

--- /dev/null
+++ b/bench/deployments.py
@@ -0,0 +1,250 @@
+"""A deployment of a bench run: zones, entries, services, targets, files."""
+
+import contextlib
+import secrets
+import shutil
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import grpc
+
+from bench.procs import ROOT, Proc, pick_ports
+from cornelgap.wire import (
+    admin_pb2,
+    admin_pb2_grpc,
+    target_pb2,
+    target_pb2_grpc,
+)
+
+APPLY_S = 60
+DUMP_S = 30
+
+
+@dataclass(frozen=True)
+class ServicePlan:
+    """One service of a deployment.
+
+    :param serves_files: whether its targets read from the folder of files.
+    """
+
+    name: str
+    targets: int
+    slots: int
+    serves_files: bool = False
+
+
+@dataclass(frozen=True)
+class DeploymentPlan:
+    """One deployment at its size of today."""
+
+    name: str
+    zones: int
+    entries: int
+    services: tuple
+
+
+AMMAN = DeploymentPlan(
+    'amman',
+    3,
+    6,
+    (ServicePlan('search', 7, 2), ServicePlan('archive', 3, 2, True)),
+)
+PERTH = DeploymentPlan(
+    'perth',
+    4,
+    6,
+    (ServicePlan('booking', 7, 3), ServicePlan('briefing', 4, 3, True)),
+)
+
+
+@dataclass
+class Deployment:
+    """A running deployment.
+
+    :param folder: where settings, logs and records are.
+    :param entries: :class:`Proc` by name.
+    :param targets: (service, :class:`Proc`) by name.
+    """
+
+    plan: DeploymentPlan
+    folder: Path
+    files: Path
+    entries: dict = field(default_factory=dict)
+    targets: dict = field(default_factory=dict)
+    publics: dict = field(default_factory=dict)
+    admins: dict = field(default_factory=dict)
+    platform: Proc | None = None
+    fabric: Proc | None = None
+
+    def get_zone(self, index):
+        """Give the availability zone of the n-th entry or target."""
+        return f'{self.plan.name}-z{index % self.plan.zones + 1}'
+
+    @property
+    def address(self):
+        """Where callers send to, ``host:port``."""
+        host, port = self.fabric.greeting['address']
+        return f'{host}:{port}'
+
+    def start(self, stack, faults, queue_limit=4):
+        """Start everything; ``stack`` ends it.
+
+        :param faults: options of the fabric, such as ``--loss 0.01``.
+        """
+        self.platform = self._start_proc(
+            stack,
+            'platform',
+            [
+                'standins.platform',
+            ],
+        )
+        self._start_targets(stack, queue_limit)
+        self._write_cfg()
+        self._start_entries(stack)
+        self._apply_cfg()
+        self._wait_in_force()
+        entries = [
+            f'{address}@{self.get_zone(index)}'
+            for index, address in enumerate(self.publics.values())
+        ]
+        pairs = [part for entry in entries for part in ('--entry', entry)]
+        self.fabric = self._start_proc(
+            stack, 'fabric', ['standins.fabric', *pairs, *faults]
+        )
+
+    def _start_proc(self, stack, name, args, greets=True):
+        proc = Proc(name, args, self.folder, greets)
+        stack.callback(proc.stop)
+        return proc
+
+    def _start_targets(self, stack, queue_limit):
+        for service in self.plan.services:
+            for index in range(service.targets):
+                name = f'{service.name}-{index + 1}'
+                args = ['standins.target', '--name', name]
+                args += ['--service', service.name]
+                args += ['--slots', str(service.slots)]
+                args += ['--queue-limit', str(queue_limit)]
+                if service.serves_files:
+                    args += ['--folder', str(self.files)]
+                proc = self._start_proc(stack, name, args)
+                self.targets[name] = (service, proc)
+
+    def _write_cfg(self):
+        lines = []
+        for index, service in enumerate(self.plan.services):
+            lines += [f'[service {service.name}]']
+            lines += [f'address = 10.0.0.{index + 1}:9000', '']
+        for index, (name, (service, proc)) in enumerate(self.targets.items()):
+            lines += [f'[target {name}]', f'service = {service.name}']
+            lines += [f'address = {proc.greeting["address"]}']
+            lines += [f'zone = {self.get_zone(index)}']
+            lines += [f'slots = {service.slots}', '']
+        lines += ['[key 1]', f'secret = {secrets.token_hex(32)}']
+        lines += ['stage = signing', '']
+        cfg = self.folder / 'cfg'
+        cfg.mkdir()
+        (cfg / '10-demo.ini').write_text('\n'.join(lines))
+
+    def _start_entries(self, stack):
+        ports = pick_ports(4 * self.plan.entries)
+        for index in range(self.plan.entries):
+            name = f'{self.plan.name}-entry-{index + 1}'
+            public, private, api, admin = [
+                f'127.0.0.1:{port}' for port in ports[index * 4 : index * 4 + 4]
+            ]
+            settings = self.folder / f'{name}.ini'
+            settings.write_text(
+                '\n'.join(
+                    [
+                        '[instance]',
+                        f'name = {name}',
+                        f'zone = {self.get_zone(index)}',
+                        f'public = {public}',
+                        f'private = {private}',
+                        f'api = {api}',
+                        f'admin = {admin}',
+                        f'platform = {self.platform.greeting["address"]}',
+                        '[tls]',
+                        'mode = off',
+                        '',
+                    ]
+                )
+            )
+            args = ['cornelgap.entry.main', '--settings', str(settings)]
+            self.entries[name] = self._start_proc(stack, name, args, False)
+            self.publics[name] = public
+            self.admins[name] = admin
+
+    def _apply_cfg(self):
+        args = ['cornelgap.operators.main', 'apply', str(self.folder / 'cfg')]
+        args += ['--platform', self.platform.greeting['address']]
+        args += ['--tls', 'off', '--wait-s', '0', '-m', 'the demo starts']
+        proc = Proc('apply', args, self.folder, greets=False)
+        code, out = proc.read_rest(APPLY_S)
+        if code != 0:
+            raise RuntimeError(f'apply ended with {code}: {out}')
+
+    def _wait_in_force(self):
+        """Wait until each entry has the configuration in force."""
+        end = time.monotonic() + APPLY_S
+        for name, admin in self.admins.items():
+            with grpc.insecure_channel(admin) as channel:
+                stub = admin_pb2_grpc.AdminStub(channel)
+                while self._read_revision(stub) < 1:
+                    if time.monotonic() > end:
+                        raise RuntimeError(f'{name} has no configuration')
+                    time.sleep(0.1)
+
+    def _read_revision(self, stub):
+        with contextlib.suppress(grpc.RpcError):
+            reply = stub.Status(
+                admin_pb2.StatusRequest(), timeout=2, wait_for_ready=True
+            )
+            return reply.revision
+        return 0
+
+    def dump_targets(self):
+        """Ask each target what ran, by its name."""
+        return {
+            name: (service.name, dump_target(name, service.name, proc))
+            for name, (service, proc) in self.targets.items()
+        }
+
+
+def dump_target(name, service, proc):
+    """Ask a target straight, past the product, what ran at it.
+
+    :returns: bytes of JSON, see ``build_report`` of the target stand-in.
+    """
+    with grpc.insecure_channel(proc.greeting['address']) as channel:
+        request = target_pb2.RunRequest(
+            service=service, target=name, payload=b'dump'
+        )
+        pieces = target_pb2_grpc.TargetStub(channel).Run(
+            request, timeout=DUMP_S
+        )
+        return b''.join(piece.payload for piece in pieces)
+
+
+def make_files(folder):
+    """Fill a folder with real files of this repository and larger ones.
+
+    :returns: names, smaller ones first.
+    """
+    folder.mkdir()
+    sources = [*ROOT.glob('docs/*.md'), *ROOT.glob('proto/*.proto')]
+    sources += ROOT.glob('cornelgap/entry/*.py')
+    for source in sources:
+        shutil.copy(source, folder / source.name)
+    # A document as large as a scanned patent, of text that repeats in no
+    # period of a chunk, so that a misplaced chunk shows.
+    text = b''.join(path.read_bytes() for path in sources)
+    lines = [b'%d %d\n' % (at, at * at) for at in range(60000)]
+    (folder / 'large.txt').write_bytes(text + b''.join(lines))
+    return [path.name for path in sorted(folder.iterdir(), key=_get_size)]
+
+
+def _get_size(path):
+    return path.stat().st_size
