--- a/cornelgap/entry/cfg_actor.py
+++ b/cornelgap/entry/cfg_actor.py
@@ -26,6 +26,7 @@
 from cornelgap.kernel.names import tell_ref, tell_service
 from cornelgap.kernel.service import Service
 
+CFG = 'cfg'
 PULSE_S = 0.1
 """Seconds between two looks at what peers state."""
 
@@ -104,7 +105,7 @@
 
     def __init__(self, scope, distribution, store, packet, loops, clients):
         """Prepare; nothing is asked before the first pulse."""
-        super().__init__(scope, 'cfg')
+        super().__init__(scope, CFG)
         self._distribution = distribution
         self._store = store
         self._packet = packet
--- a/cornelgap/entry/packets.py
+++ b/cornelgap/entry/packets.py
@@ -9,11 +9,12 @@
 import time
 from dataclasses import dataclass
 
-import pykka
-
 from cornelgap.core import calls
 from cornelgap.entry.handover import HandOver
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
+from cornelgap.kernel.service import Service
+
+PACKETS = 'packets'
 
 TICK_S = 0.02
 """Seconds between two ticks of the engine; queue waits and deadlines are
@@ -101,7 +102,7 @@
     return host, int(port)
 
 
-class PacketActor(pykka.ThreadingActor):
+class PacketActor(Service):
     """Task that owns the public socket, the peer socket and the engine.
 
     :param engine: :class:`~cornelgap.entry.engine.Engine`, given away.
@@ -116,17 +117,16 @@
         self, engine, public, private, put_calls, hand_over, on_finished
     ):
         """Take over engine and sockets."""
-        super().__init__()
+        super().__init__(engine.state.name, PACKETS)
         self._engine = engine
         self._public = public
         self._private = private
         self._put_calls = put_calls
         self._hand_over = hand_over
         self._on_finished = on_finished
-        self._unsent = 0
         self.actor_inbox.add_socket(public)
         self.actor_inbox.add_socket(private)
-        self._handlers = {
+        self.handlers = {
             Readable: self._read_socket,
             Tick: self._tick,
             CallEvents: self._take_events,
@@ -141,10 +141,6 @@
     def _create_actor_inbox():
         return SocketInbox(time.monotonic, TICK_S)
 
-    def on_receive(self, message):
-        """Handle one message in one turn."""
-        return self._handlers[type(message)](message)
-
     def on_stop(self):
         """Close what this actor owns."""
         self._public.close()
