--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -1,23 +1,21 @@
 """A deployment of a bench run: zones, entries, services, targets, files."""
 
-import contextlib
 import secrets
 import shutil
-import time
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import grpc
 
-from bench.procs import ROOT, Proc, pick_ports
-from cornelgap.wire import (
-    admin_pb2,
-    admin_pb2_grpc,
-    target_pb2,
-    target_pb2_grpc,
-)
+from bench.procs import ROOT, Proc
+from cornelgap.call.client import CallerClient
+from cornelgap.call.main import parse_address
+from cornelgap.cfg import publishing
+from cornelgap.cfg.folder import load_folder
+from cornelgap.cfg.store import PlatformStore
+from cornelgap.wire import target_pb2, target_pb2_grpc
 
-APPLY_S = 60
+OPEN_S = 30
 DUMP_S = 30
 
 
@@ -72,8 +70,6 @@
     files: Path
     entries: dict = field(default_factory=dict)
     targets: dict = field(default_factory=dict)
-    publics: dict = field(default_factory=dict)
-    admins: dict = field(default_factory=dict)
     platform: Proc | None = None
     fabric: Proc | None = None
 
@@ -105,8 +101,8 @@
         self._apply_cfg()
         self._wait_in_force()
         entries = [
-            f'{address}@{self.get_zone(index)}'
-            for index, address in enumerate(self.publics.values())
+            f'{proc.greeting["public"]}@{self.get_zone(index)}'
+            for index, proc in enumerate(self.entries.values())
         ]
         pairs = [part for entry in entries for part in ('--entry', entry)]
         self.fabric = self._start_proc(
@@ -148,12 +144,8 @@
         (cfg / '10-demo.ini').write_text('\n'.join(lines))
 
     def _start_entries(self, stack):
-        ports = pick_ports(4 * self.plan.entries)
         for index in range(self.plan.entries):
             name = f'{self.plan.name}-entry-{index + 1}'
-            public, private, api, admin = [
-                f'127.0.0.1:{port}' for port in ports[index * 4 : index * 4 + 4]
-            ]
             settings = self.folder / f'{name}.ini'
             settings.write_text(
                 '\n'.join(
@@ -161,10 +153,9 @@
                         '[instance]',
                         f'name = {name}',
                         f'zone = {self.get_zone(index)}',
-                        f'public = {public}',
-                        f'private = {private}',
-                        f'api = {api}',
-                        f'admin = {admin}',
+                        'public = 127.0.0.1:0',
+                        'private = 127.0.0.1:0',
+                        'api = 127.0.0.1:0',
                         f'platform = {self.platform.greeting["address"]}',
                         '[tls]',
                         'mode = off',
@@ -173,37 +164,25 @@
                 )
             )
             args = ['cornelgap.entry.main', '--settings', str(settings)]
-            self.entries[name] = self._start_proc(stack, name, args, False)
-            self.publics[name] = public
-            self.admins[name] = admin
+            self.entries[name] = self._start_proc(stack, name, args)
 
     def _apply_cfg(self):
-        args = ['cornelgap.operators.main', 'apply', str(self.folder / 'cfg')]
-        args += ['--platform', self.platform.greeting['address']]
-        args += ['--tls', 'off', '--wait-s', '0', '-m', 'the demo starts']
-        proc = Proc('apply', args, self.folder, greets=False)
-        code, out = proc.read_rest(APPLY_S)
-        if code != 0:
-            raise RuntimeError(f'apply ended with {code}: {out}')
+        cfg, findings, _ = load_folder(self.folder / 'cfg')
+        if findings:
+            raise RuntimeError(f'bad configuration: {findings}')
+        store = PlatformStore.from_address(self.platform.greeting['address'])
+        result = publishing.publish(
+            store, cfg, 'demo', 'the demo starts', secrets.token_hex(8), 0
+        )
+        store.close()
+        if not result.accepted:
+            raise RuntimeError(f'configuration refused: {result.text}')
 
     def _wait_in_force(self):
-        """Wait until each entry has the configuration in force."""
-        end = time.monotonic() + APPLY_S
-        for name, admin in self.admins.items():
-            with grpc.insecure_channel(admin) as channel:
-                stub = admin_pb2_grpc.AdminStub(channel)
-                while self._read_revision(stub) < 1:
-                    if time.monotonic() > end:
-                        raise RuntimeError(f'{name} has no configuration')
-                    time.sleep(0.1)
-
-    def _read_revision(self, stub):
-        with contextlib.suppress(grpc.RpcError):
-            reply = stub.Status(
-                admin_pb2.StatusRequest(), timeout=2, wait_for_ready=True
-            )
-            return reply.revision
-        return 0
+        """Wait until each entry opens flows of each service."""
+        for name, proc in self.entries.items():
+            for service in self.plan.services:
+                open_flow(proc.greeting['public'], service.name, name)
 
     def dump_targets(self):
         """Ask each target what ran, by its name."""
@@ -213,6 +192,20 @@
         }
 
 
+def open_flow(address, service, name):
+    """Open a flow at one entry instance, as a caller.
+
+    :raises RuntimeError: if it opens none.
+    """
+    client = CallerClient([parse_address(address)])
+    flow = client.open_flow(service, open_s=OPEN_S)
+    while not flow.is_open():
+        client.poll(0.2)
+        if flow.is_closed:
+            raise RuntimeError(f'{name} opens no flow of {service}')
+    client.close()
+
+
 def dump_target(name, service, proc):
     """Ask a target straight, past the product, what ran at it.
 
