--- a/cornelgap/cfg/comparison.py
+++ b/cornelgap/cfg/comparison.py
@@ -41,6 +41,13 @@
     return f'fingerprint:{name.hexdigest()}'
 
 
+def list_targets(cfg):
+    """List the names of all targets of a configuration, as a set."""
+    return {
+        name for service in cfg.services.values() for name in service.targets
+    }
+
+
 def list_changes(old, new):
     """List the values that differ between two configurations.
 
@@ -195,27 +202,16 @@
     """
     if not old.keys:
         return []
-    findings = []
-    for key_id, key in old.keys.items():
-        kept = new.keys.get(key_id)
-        if kept is None and key.stage is KeyStage.SIGNING:
-            findings.append(
-                _refuse(
-                    f'key {key_id}',
-                    'stage',
-                    'the signing key goes while tokens of it are valid',
-                    'stage = retiring for the longest token lifetime first',
-                )
-            )
-        if kept is not None and kept.secret != key.secret:
-            findings.append(
-                _refuse(
-                    f'key {key_id}',
-                    'secret',
-                    'the secret of a known key changes',
-                    'a key with a number of its own',
-                )
-            )
+    findings = [
+        _refuse(
+            f'key {key_id}',
+            'secret',
+            'the secret of a known key changes',
+            'a key with a number of its own',
+        )
+        for key_id, key in new.keys.items()
+        if key_id in old.keys and old.keys[key_id].secret != key.secret
+    ]
     findings += [
         _refuse(
             f'key {key_id}',
@@ -227,3 +223,24 @@
         if key_id not in old.keys and key.stage is KeyStage.SIGNING
     ]
     return findings
+
+
+def find_key_steps(old, new):
+    """Find key steps that only a command may make, not a folder.
+
+    The commands look first whether every entry instance has the key, and
+    whether tokens of it are still valid; a folder cannot.
+
+    :param old: Cfg in force.
+    :param new: Cfg of the folder.
+    """
+    return [
+        _refuse(
+            f'key {key_id}',
+            'stage',
+            f'the stage goes from {old.keys[key_id].stage} to {key.stage}',
+            'cornelgap key sign or key retire',
+        )
+        for key_id, key in new.keys.items()
+        if key_id in old.keys and old.keys[key_id].stage != key.stage
+    ]
--- a/cornelgap/cfg/linking.py
+++ b/cornelgap/cfg/linking.py
@@ -120,11 +120,11 @@
 
 
 def _check_signing(keys, meta):
-    """Require exactly one signing key among those that are given."""
+    """Refuse two signing keys: which one signs would be left to chance."""
     signing = [key for key in keys if key.stage is settings.KeyStage.SIGNING]
-    if not keys or len(signing) == 1:
+    wrong = signing[1:]
+    if not wrong:
         return []
-    wrong = signing[1:] or keys[:1]
     section = f'key {wrong[0].name}'
     file, line = _place(meta, section, 'stage')
     return [
@@ -135,6 +135,6 @@
             line,
             section,
             'stage',
-            'exactly one key whose stage is signing',
+            'one key whose stage is signing',
         )
     ]
--- a/cornelgap/core/errors.py
+++ b/cornelgap/core/errors.py
@@ -63,6 +63,9 @@
     OPS_AUDIT_BROKEN = 'OPS-005'
     OPS_UNKNOWN_NAME = 'OPS-006'
     OPS_FORBIDDEN = 'OPS-007'
+    OPS_NO_BASE = 'OPS-008'
+    OPS_NO_SETTINGS = 'OPS-009'
+    OPS_NO_SUCH_STEP = 'OPS-010'
     # Platform.
     PLT_DOWN = 'PLT-001'
     PLT_ANSWER_LOST = 'PLT-002'
--- a/cornelgap/operators/__init__.py
+++ b/cornelgap/operators/__init__.py
@@ -1,1 +1,1 @@
-"""What operators use: the command line over library functions."""
+"""Check, apply and watch the configuration of a cornelgap system."""
--- a/features/cfg_folder.feature
+++ b/features/cfg_folder.feature
@@ -29,7 +29,7 @@
       | servce extra     | token_s = 60        | CFG-002 |             | [service NAME]   | service  |
       | target t2        | service = serch     | CFG-007 | service     | [service NAME]   | search   |
       | target t2        | address = 10.1.0.1:7000 | CFG-010 | address | of its own       |          |
-      | key 2            | stage = signing     | CFG-004 | stage       | exactly one key  |          |
+      | key 2            | stage = signing     | CFG-004 | stage       | one key          |          |
       | key 3            | stage = published   | CFG-005 | secret      | a value          |          |
       | key 4            | secret = 00         | CFG-004 | secret      | 64 hex digits    |          |
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,7 +16,12 @@
 
 from cornelgap.wire import platform_pb2 as wire
 from cornelgap.wire import platform_pb2_grpc as wire_grpc
-from standins.platform_state import AnswerLost, PlatformDown, PlatformState
+from standins.platform_state import (
+    AnswerLost,
+    Forbidden,
+    PlatformDown,
+    PlatformState,
+)
 
 # A waiting watch holds a thread of the synchronous server.
 _MAX_THREADS = 256
@@ -87,6 +92,8 @@
             return method(*args)
         except (PlatformDown, AnswerLost) as exc:
             context.abort(grpc.StatusCode.UNAVAILABLE, str(exc))
+        except Forbidden as exc:
+            context.abort(grpc.StatusCode.PERMISSION_DENIED, str(exc))
         except ValueError as exc:
             context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(exc))
 
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -14,6 +14,10 @@
     """The call failed and had no effect."""
 
 
+class Forbidden(Exception):
+    """The caller may not do this."""
+
+
 class AnswerLost(Exception):
     """The write took effect and its answer did not arrive."""
 
@@ -157,6 +161,8 @@
         return self._snapshot if self.faults.stale_reads else self._objects
 
     def _check_up(self):
+        if self.faults.forbidden:
+            raise Forbidden('not permitted')
         if self.faults.down:
             raise PlatformDown('the platform is down')
 
