--- a/cornelgap/entry/handover.py
+++ b/cornelgap/entry/handover.py
@@ -89,12 +89,19 @@
     """
     if not state.leaving or state.batches or state.open_requests:
         return False
-    has_peers = bool(state.membership.list_live(now))
-    if has_peers and any(not it.moved_to for it in state.flows.values()):
+    if state.membership.list_live(now) and _count_unmoved(state):
         return False
     return now - state.handed_at >= LINGER_S
 
 
+def _count_unmoved(state):
+    services = state.cfg.services
+    return sum(
+        not flow.moved_to and flow.service in services
+        for flow in state.flows.values()
+    )
+
+
 def hand_over_flows(state, now):
     """Send the next batches to successors, and again what got no answer."""
     if not state.leaving:
@@ -129,6 +136,8 @@
             break
         if flow.moved_to or not _is_quiet(flow):
             continue
+        if flow.service not in state.cfg.services:
+            continue
         flow.moved_to = peer
         records.append(_build_record(state, now, flow))
         size += records[-1].ByteSize()
@@ -182,39 +191,53 @@
 
 
 def finish_batch(state, now, event):
-    """Take a successor's answer: let go of what it has taken."""
-    batch = state.batches.get(event.batch_id)
-    if batch is None or not event.taken:
+    """Take a successor's answer: let go of the flows, or take them back.
+
+    A successor that leaves too takes nothing.  Its refusal is certain, so
+    the flows are this instance's again and go to another one; without
+    that two instances that stop together would each point at the other.
+    """
+    batch = state.batches.pop(event.batch_id, None)
+    if batch is None:
         return
-    state.batches.pop(event.batch_id)
     state.handed_at = now
     for record in batch.records:
         flow = state.flows.get(make_key(record.flow_id, record.epoch))
         if flow is None:
             continue
-        for feed in list((flow.feeds or {}).values()):
-            end_feed(state, flow, feed)
-        flow.kept = None
+        if event.taken:
+            _release_flow(state, flow)
+        else:
+            flow.moved_to = ''
     count_event(state, 'handover_batches')
 
 
+def _release_flow(state, flow):
+    for feed in list((flow.feeds or {}).values()):
+        end_feed(state, flow, feed)
+    flow.kept = None
+
+
 def take_records(state, now, records):
     """Become the home of flows that another instance hands over.
 
-    A record that was taken before is left alone: the first answer was
-    lost, and what has happened here since is the newer truth.
+    A batch is taken whole or not at all, so that its sender can take it
+    back after a refusal.  A record that was taken before is left alone:
+    the first answer was lost, and what has happened here since is the
+    newer truth.
 
     :returns: how many flows are owned here now.
     """
-    taken = 0
-    for record in records:
-        if record.service not in state.cfg.services:
-            continue
-        taken += 1
-        key = make_key(record.flow_id, record.epoch)
-        if key not in state.flows:
-            _take_record(state, now, key, record)
-    return taken
+    keys = [make_key(record.flow_id, record.epoch) for record in records]
+    known = sum(key in state.flows for key in keys)
+    if known:
+        return len(records)
+    served = state.cfg.services
+    if state.leaving or any(it.service not in served for it in records):
+        return 0
+    for key, record in zip(keys, records, strict=True):
+        _take_record(state, now, key, record)
+    return len(records)
 
 
 def _take_record(state, now, key, record):
