Mend two faults of requests that the proofs found

A verdict now claims no more than all tries allow.

An answer acknowledged before its call had ended left no answer and no verdict, and the next question about it raised AttributeError in the packet actor. The answer now stays until the verdict; an answer whose last piece has come counts as done even if the connection breaks then.

--- a/cornelgap/entry/requests.py
+++ b/cornelgap/entry/requests.py
@@ -7,6 +7,8 @@
 it would run twice.
 """
 
+from dataclasses import replace
+
 from cornelgap.core import calls
 from cornelgap.core import messages as msg
 from cornelgap.core.errors import Code
@@ -193,10 +195,13 @@
     _finish_admission(state, now, flow, kept, event.ended, now - call.started)
     if kept.verdict is not None:
         return
-    if event.ran is Ran.DONE:
+    if event.ran is Ran.DONE or kept.answer.ended:
+        # The last piece came before the connection broke: nothing is
+        # missing, and a doubt would make the caller drop a whole answer.
         end_request(state, now, flow, kept, confirm_done())
     elif _may_retry(state, now, flow, kept, event):
         count_event(state, 'retries')
+        kept.doubtful = kept.doubtful or event.ran is not Ran.NOT_RUN
         move_flow(state, now, flow)
         offer_request(state, now, flow, kept)
     else:
@@ -238,6 +243,7 @@
 
 def end_request(state, now, flow, kept, verdict):
     """Give a request its final verdict, at once, and keep it for repeats."""
+    verdict = limit_claim(kept, verdict)
     kept.verdict = verdict
     kept.ended_at = now
     kept.payload = b''
@@ -247,9 +253,24 @@
     if verdict.ran is not Ran.DONE:
         kept.answer = None
         send_report(state, now, flow, kept.number, verdict)
+    elif answers.is_acknowledged(kept.answer):
+        kept.answer = None
     _drop_surplus(state, flow)
 
 
+def limit_claim(kept, verdict):
+    """Let a verdict claim no more than all attempts of the request allow.
+
+    An idempotent request may be tried twice under one id.  If the first try
+    may have run and the second is refused, "not run" would be true of the
+    second only; the caller would learn of a result that it was told cannot
+    exist.
+    """
+    if kept.doubtful and verdict.ran is Ran.NOT_RUN:
+        return replace(verdict, ran=Ran.MAY_HAVE_RUN)
+    return verdict
+
+
 def _drop_surplus(state, flow):
     while len(flow.kept) > MAX_KEPT:
         oldest = next(
@@ -273,7 +294,9 @@
         _send_chunk(state, now, flow, kept, position)
     _send_unsent(state, now, flow, kept)
     _grant_more(state, kept)
-    if answers.is_acknowledged(kept.answer):
+    if answers.is_acknowledged(kept.answer) and kept.verdict is not None:
+        # Before the verdict the empty answer must stay: it says that all
+        # was sent, to whoever asks again until the call has ended.
         kept.answer = None
     elif kept.verdict is None and not kept.answer.chunks:
         send_progress(state, now, flow, kept.number)
--- a/cornelgap/entry/state.py
+++ b/cornelgap/entry/state.py
@@ -38,6 +38,7 @@
     :param call_id: 0 while no call runs.
     :param verdict: None until the request has ended.
     :param ended_at: time of the verdict.
+    :param doubtful: an earlier attempt under this id may have run.
     """
 
     number: int
@@ -50,6 +51,7 @@
     verdict: Verdict | None = None
     ended_at: float = 0
     answer: object = None
+    doubtful: bool = False
 
 
 @dataclass(slots=True)
