--- /dev/null
+++ b/features/proof_traps.feature
@@ -0,0 +1,144 @@
+Feature: Each trap is avoided, and its guard is what avoids it
+
+  Each scenario plays one short story on engines that are driven by hand,
+  first as they are, then with the named guard taken out.  The second run
+  must show the harm, or the story proves nothing.
+
+  @trap-01 @must-true-refusal
+  Scenario: A late copy of a refused hold does not run
+    A target sheds a hold and the student is told that it was not placed.
+    Half a minute later a delayed copy of the datagram arrives.  If it ran,
+    an aircraft would be booked that the student believes to be free.
+    When the proof story "refused copy" is played
+    Then the proof checkers have no objection
+    But they object once the guard "window" is taken out
+
+  @trap-01 @must-true-refusal
+  Scenario: A cancel that overtakes its hold keeps the hold from running
+    Datagrams overtake each other.  The student cancels, is told that the
+    hold was not placed, and then the hold itself comes in.
+    When the proof story "cancelled copy" is played
+    Then the proof checkers have no objection
+    But they object once the guard "cancel-tombstone" is taken out
+
+  @trap-02 @must-true-refusal
+  Scenario: An entry that is not the home never says not run
+    One copy of a hold ran at the home; another reached an entry that can
+    not even read the token.  If that one said "not run", the student would
+    book the aircraft a second time.
+    When the proof story "foreign refusal" is played
+    Then the proof checkers have no objection
+    But they object once the guard "refuse-same-id" is taken out
+
+  @must-true-refusal
+  Scenario: A refused second try does not hide that the first may have run
+    A connection breaks while a question runs; the entry tries it again at
+    a second target, which sheds it.  The inventor must not be told that it
+    was not run.
+    When the proof story "second try refused" is played
+    Then the proof checkers have no objection
+    But they object once the guard "doubt-kept" is taken out
+
+  @trap-03 @must-at-most-once
+  Scenario: An idle flow's window outlives the memory pressure
+    A flow is quiet for almost a minute while its token is still valid.  An
+    old copy of its hold turns up after that.  With the window gone the hold
+    would be placed twice.
+    When the proof story "idle copy" is played
+    Then the proof checkers have no objection
+    But they object once the guard "window-kept" is taken out
+
+  @trap-03 @must-at-most-once
+  Scenario: An expired token makes no new window
+    Flow and token have expired and the home has forgotten both.  An old
+    copy that made a fresh window would run again.
+    When the proof story "expired copy" is played
+    Then the proof checkers have no objection
+    But they object once the guard "token-expiry" is taken out
+
+  @trap-04 @must-at-most-once
+  Scenario: A home that restarted at its address owns no old ids
+    An entry is replaced at the same address within a second and has
+    forgotten what it ran.  A copy of a hold that it ran before comes in.
+    When the proof story "restarted home" is played
+    Then the proof checkers have no objection
+    But they object once the guard "boot-nonce" is taken out
+
+  @trap-05 @must-at-most-once
+  Scenario: A hold on a broken connection is not sent again
+    The target runs the hold and the connection breaks before its answer.
+    A second sending would book the aircraft twice.
+    When the proof story "broken connection" is played
+    Then the proof checkers have no objection
+    But they object once the guard "no-blind-retry" is taken out
+
+  @trap-11 @must-config-in-force
+  Scenario: An older revision is never put in force
+    The platform's store answers from a replica that lags.  Going back
+    would bring back a target that has left, and operators would see the
+    revision fall.
+    When the proof story "older read" is played
+    Then the proof checkers have no objection
+    But they object once the guard "rising-revisions" is taken out
+
+  @trap-12 @must-feed-survives
+  Scenario: A live home that the instance list lacks keeps its flows
+    The list lags and lacks an entry that serves.  If its flows were taken
+    away, each hold in progress would be left in doubt.
+    When the proof story "lagging list" is played
+    Then the proof checkers have no objection
+    But they object once the guard "list-is-hint" is taken out
+
+  @trap-15
+  Scenario: Retries are a small share of the requests
+    All targets of a service fail at once.  Without a budget each question
+    is sent again until its deadline, and the load keeps the targets down.
+    When the proof story "retry storm" is played
+    Then the proof checkers have no objection
+    But they object once the guard "retry-budget" is taken out
+
+  @trap-17
+  Scenario: A dead home's flows are re-homed at a pace
+    Two thousand flows lose their home in one moment and all speak at once.
+    Re-homing all of them in one turn would stall the flows that are well.
+    When the proof story "mass rehoming" is played
+    Then the proof checkers have no objection
+    But they object once the guard "pace" is taken out
+
+  @trap-18
+  Scenario: A key that is only published does not sign
+    Keys reach the entries unevenly.  A token signed at once with the new
+    key would be refused by every entry that lacks it.
+    When the proof story "key rotation" is played
+    Then the proof checkers have no objection
+    But they object once the guard "publish-then-sign" is taken out
+
+  @trap-18
+  Scenario: A retiring key still verifies
+    Tokens live for a quarter of an hour.  A key that stops verifying when
+    the next one begins to sign would cut every flow.
+    When the proof story "old key retired" is played
+    Then the proof checkers have no objection
+    But they object once the guard "retire-late" is taken out
+
+  @must-at-most-once @must-graceful-stop
+  Scenario: A handover that arrives twice brings back no old window
+    The answer to a handover is lost and the leaving entry sends it again.
+    Meanwhile the successor has run a hold, which the old window lacks.
+    When the proof story "doubled handover" is played
+    Then the proof checkers have no objection
+    But they object once the guard "handover-once" is taken out
+
+  @must-whole-answer
+  Scenario: A caller that acknowledges early meets no crash
+    The last piece is acknowledged before the call has formally ended, and
+    the caller asks again.  An error here would stop all flows of the entry.
+    When the proof story "early ack" is played
+    Then the proof checkers have no objection
+
+  Scenario: A packet does not circle between two entries
+    Two entries each take the other for the home of a flow.  Without a
+    limit one packet would keep both busy for ever.
+    When the proof story "hopping" is played
+    Then the proof checkers have no objection
+    But they object once the guard "hop-limit" is taken out
--- a/features/proofs/caller_node.py
+++ b/features/proofs/caller_node.py
@@ -63,7 +63,7 @@
         return hold
 
     def _try(self, hold, kind, attempt):
-        if self.flow.is_closed:
+        if self.flow.is_closed or self.stopped:
             return
         now = self.world.loop.now
         payload = hold.encode()
--- a/features/proofs/clock.py
+++ b/features/proofs/clock.py
@@ -15,9 +15,7 @@
     def at(self, delay, func, *args):
         """Call a function after a delay."""
         self._order += 1
-        heapq.heappush(
-            self._queue, (self.now + delay, self._order, func, args)
-        )
+        heapq.heappush(self._queue, (self.now + delay, self._order, func, args))
 
     def run_until(self, end):
         """Run everything that is due before a time, and stand there."""
--- a/features/proofs/entry_node.py
+++ b/features/proofs/entry_node.py
@@ -302,9 +302,7 @@
         delay = fab.ZONE_S + (fab.LATE_S if fault == 'late' else 0)
         if self.world.fabric.is_cut(self.zone, target.zone):
             # TCP repeats; a cut that lasts is noticed by the deadline.
-            self.world.loop.at(
-                0.2, self._hear_target, target, step, event
-            )
+            self.world.loop.at(0.2, self._hear_target, target, step, event)
             return
         if fault == 'lost':
             link = self._serving.get(event.call_id)
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -7,10 +7,24 @@
 
 import sys
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Callable
 
-from cornelgap.core import token, window
+from cornelgap.core import token, verdicts, window
+from cornelgap.core.errors import Code
+from cornelgap.core.settings import KeyStage
+from cornelgap.core.verdicts import refuse_not_run
+from cornelgap.decisions import membership, pacing, retry
+from cornelgap.entry import (
+    engine,
+    handover,
+    peering,
+    replies,
+    requests,
+    routing,
+)
+from cornelgap.entry import state as state_module
+from cornelgap.entry.state import make_key
 
 _OURS = ('cornelgap', 'features')
 
@@ -78,14 +92,206 @@
     patches.replace_function(token.check_bytes, lambda *args: True)
 
 
+def _skip_limit_claim(patches):
+    patches.replace_function(
+        requests.limit_claim, lambda kept, verdict: verdict
+    )
+
+
+def _claim_cancelled(patches):
+    def cancel_unseen(state, now, flow, number):
+        verdict = refuse_not_run(str(Code.REQ_CANCELLED))
+        replies.send_report(state, now, flow, number, verdict)
+
+    patches.replace_function(requests.cancel_unseen, cancel_unseen)
+
+
+def _claim_not_run(patches):
+    patches.replace_function(verdicts.ask_same_id, refuse_not_run)
+
+
+def _evict_idle(patches):
+    def sweep_flows(state, now):
+        for key, flow in list(state.flows.items()):
+            if not flow.kept and not flow.feeds:
+                state.flows.pop(key)
+
+    patches.replace_function(engine._sweep_flows, sweep_flows)
+
+
+def _take_expired(patches):
+    plain = routing._create_flow
+
+    def create_flow(state, now, message, said, address, size):
+        alive = replace(said, expiry=max(said.expiry, int(now) + 1))
+        return plain(state, now, message, alive, address, size)
+
+    patches.replace_function(plain, create_flow)
+
+
+def _skip_boot(patches):
+    patches.replace_function(
+        routing._is_home, lambda state, said: said.home == state.name
+    )
+
+
+def _retry_all(patches):
+    patches.replace_function(retry._is_repeatable, lambda *args: True)
+
+
+def _retry_without_budget(patches):
+    def may_retry(self, now, deadline, ran, idempotent):
+        return retry._is_repeatable(ran, idempotent)
+
+    patches.set_attr(retry.RetryBudget, 'may_retry', may_retry)
+
+
+def _adopt_anything(patches):
+    plain = state_module.adopt_cfg
+
+    def adopt_cfg(state, now, cfg):
+        state.cfg = replace(state.cfg, revision=-1)
+        return plain(state, now, cfg)
+
+    patches.replace_function(plain, adopt_cfg)
+
+
+def _trust_list(patches):
+    plain = membership.Membership.is_lost
+
+    def is_lost(self, now, name, boot):
+        peer = self._peers.get(name)
+        if peer is None or not peer.listed:
+            return True
+        return plain(self, now, name, boot)
+
+    patches.set_attr(membership.Membership, 'is_lost', is_lost)
+
+
+def _skip_pace(patches):
+    patches.set_attr(pacing.Pacer, 'take', lambda *args, **kwargs: True)
+
+
+def _sign_at_once(patches):
+    patches.replace_function(
+        token.pick_signing_key,
+        lambda keys: max(keys.values(), key=lambda key: key.key_id),
+    )
+
+
+def _verify_with_signing(patches):
+    plain = token.verify_token
+
+    def verify_token(keys, data):
+        signing = {
+            key.key_id: key
+            for key in keys.values()
+            if key.stage is KeyStage.SIGNING
+        }
+        return plain(signing, data)
+
+    patches.set_attr(routing, 'verify_token', verify_token)
+
+
+def _take_twice(patches):
+    plain = handover._take_record
+
+    def take_records(state, now, records):
+        for record in records:
+            key = make_key(record.flow_id, record.epoch)
+            plain(state, now, key, record)
+        return len(records)
+
+    patches.replace_function(handover.take_records, take_records)
+
+
+def _hop_on(patches):
+    patches.set_attr(peering, 'MAX_HOPS', 1000)
+
+
 _ALL = (
+    Guard('window', 1, 'a number seen never runs again', _skip_window),
+    Guard(
+        'cancel-tombstone',
+        1,
+        'a cancelled number is marked before its copy comes',
+        _claim_cancelled,
+    ),
+    Guard(
+        'doubt-kept',
+        0,
+        'a refused second try does not undo the doubt of the first',
+        _skip_limit_claim,
+    ),
+    Guard(
+        'refuse-same-id',
+        2,
+        'only the home says not run; others ask for the same id',
+        _claim_not_run,
+    ),
     Guard(
         'window-below',
         3,
         'a number below the bitmap counts as seen',
         _forget_old_numbers,
     ),
-    Guard('window', 1, 'a number seen before never runs again', _skip_window),
+    Guard(
+        'window-kept',
+        3,
+        'a window stays until its newest token has expired',
+        _evict_idle,
+    ),
+    Guard(
+        'token-expiry',
+        3,
+        'an expired token makes no new window',
+        _take_expired,
+    ),
+    Guard('boot-nonce', 4, 'a restarted home owns no old ids', _skip_boot),
+    Guard(
+        'no-blind-retry',
+        5,
+        'what may have run is only tried again if idempotent',
+        _retry_all,
+    ),
+    Guard(
+        'rising-revisions',
+        11,
+        'only a higher revision is adopted',
+        _adopt_anything,
+    ),
+    Guard(
+        'list-is-hint',
+        12,
+        'an instance missing in the list is not lost',
+        _trust_list,
+    ),
+    Guard(
+        'retry-budget',
+        15,
+        'retries are a bounded share of requests',
+        _retry_without_budget,
+    ),
+    Guard('pace', 17, 're-homing is paced', _skip_pace),
+    Guard(
+        'publish-then-sign',
+        18,
+        'a published key does not sign yet',
+        _sign_at_once,
+    ),
+    Guard(
+        'retire-late',
+        18,
+        'a retiring key still verifies',
+        _verify_with_signing,
+    ),
+    Guard(
+        'handover-once',
+        0,
+        'a record taken before is left alone',
+        _take_twice,
+    ),
+    Guard('hop-limit', 0, 'a relayed packet ends after two hops', _hop_on),
     Guard('token-tag', 0, 'a token that was not minted is refused', _skip_tag),
 )
 
--- a/features/proofs/records.py
+++ b/features/proofs/records.py
@@ -56,6 +56,7 @@
 
     :param service: the service that the target belongs to.
     :param wanted: the service that the request names.
+    :param at: time in seconds.
     """
 
     service: str
@@ -63,6 +64,15 @@
     target: str
     req: ReqId
     payload: bytes
+    at: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """An operator or the platform said that a target is leaving."""
+
+    target: str
+    at: float
 
 
 @dataclass(frozen=True, slots=True)
