Let only the process that is meant take a handover, and guess no target

A handover whose answer was lost is repeated. If the successor had been restarted at its address in between, the new process took the old window under the same ids, and a copy of a hold that the old process ran was run again. Records now name the boot that they are meant for; no other takes them, and the leaving entry stops repeating once it hears another boot. An entry that leaves therefore waits until it has heard a successor, which a ping brings about within a second.

An entry with an older configuration re-homed a flow whose target it did not know to a target of its old list, and took such flows over.

--- a/cornelgap/decisions/membership.py
+++ b/cornelgap/decisions/membership.py
@@ -264,6 +264,11 @@
             return True
         return self._is_silent(now, peer)
 
+    def find_boot(self, name):
+        """Find the boot nonce of a peer's process; 0 if never heard."""
+        peer = self._peers.get(name)
+        return peer.boot if peer else 0
+
     def _get_peer(self, now, name):
         peer = self._peers.get(name)
         if peer is None:
--- a/cornelgap/entry/handover.py
+++ b/cornelgap/entry/handover.py
@@ -17,6 +17,7 @@
 from cornelgap.core.window import decode_seen, encode_seen
 from cornelgap.entry import answers
 from cornelgap.entry.feeds import add_feed, end_feed
+from cornelgap.entry.lookups import find_target
 from cornelgap.entry.pins import ensure_target
 from cornelgap.entry.replies import mint_flow_token, send_message
 from cornelgap.entry.state import (
@@ -68,6 +69,7 @@
 @dataclass(slots=True)
 class _Batch:
     peer: str
+    boot: int
     records: list
     sent_at: float
 
@@ -103,8 +105,9 @@
     _repeat_batches(state, now)
     busy = {batch.peer for batch in state.batches.values()}
     for peer in peers:
-        if peer not in busy:
-            _send_batch(state, now, peer)
+        boot = state.membership.find_boot(peer)
+        if boot and peer not in busy:
+            _send_batch(state, now, peer, boot)
 
 
 def _repeat_batches(state, now):
@@ -112,7 +115,7 @@
         if now - batch.sent_at < BATCH_TIMEOUT_S:
             continue
         batch.sent_at = now
-        if state.membership.is_lost(now, batch.peer, 0):
+        if state.membership.is_lost(now, batch.peer, batch.boot):
             # The successor may have taken them before it was lost, so they
             # stay its own; their callers re-home them in a new id space.
             state.batches.pop(batch_id)
@@ -121,7 +124,7 @@
             state.effects.append(HandOver(batch_id, batch.peer, batch.records))
 
 
-def _send_batch(state, now, peer):
+def _send_batch(state, now, peer, boot):
     records = []
     size = 0
     for flow in state.flows.values():
@@ -130,13 +133,13 @@
         if flow.moved_to or not _is_quiet(flow):
             continue
         flow.moved_to = peer
-        records.append(_build_record(state, now, flow))
+        records.append(_build_record(state, now, flow, boot))
         size += records[-1].ByteSize()
     if not records:
         return
     batch_id = state.next_batch_id
     state.next_batch_id += 1
-    state.batches[batch_id] = _Batch(peer, records, now)
+    state.batches[batch_id] = _Batch(peer, boot, records, now)
     state.effects.append(HandOver(batch_id, peer, records))
 
 
@@ -144,7 +147,7 @@
     return all(kept.verdict for kept in (flow.kept or {}).values())
 
 
-def _build_record(state, now, flow):
+def _build_record(state, now, flow, boot):
     flow_id, epoch = split_key(flow.key)
     host, port = flow.address
     record = pb.FlowRecord(
@@ -157,6 +160,8 @@
         caller_host=host,
         caller_port=port,
         token_left_ms=int(max(0, flow.expiry - now) * 1000),
+        successor_boot=boot,
+        revision=state.cfg.revision,
     )
     for kept in (flow.kept or {}).values():
         record.kept.append(_build_kept(kept))
@@ -208,7 +213,7 @@
     """
     taken = 0
     for record in records:
-        if record.service not in state.cfg.services:
+        if not _may_take(state, record):
             continue
         taken += 1
         key = make_key(record.flow_id, record.epoch)
@@ -217,6 +222,22 @@
     return taken
 
 
+def _may_take(state, record):
+    """Say whether a record is meant for this process and can be served.
+
+    A batch is repeated when its answer is lost.  If the successor has been
+    restarted in between, the new process would take an old window under the
+    same ids, and a hold that the old process ran would run again; the
+    caller would see it doubled.  Only the boot that was meant may take it.
+    """
+    if record.successor_boot != state.boot:
+        return False
+    if record.service not in state.cfg.services:
+        return False
+    known = find_target(state, record.service, record.target) is not None
+    return known or record.revision <= state.cfg.revision
+
+
 def _take_record(state, now, key, record):
     flow = Flow(
         key=key,
--- a/cornelgap/entry/routing.py
+++ b/cornelgap/entry/routing.py
@@ -18,6 +18,7 @@
 )
 from cornelgap.entry import feeds, requests
 from cornelgap.entry.handover import send_moved_here
+from cornelgap.entry.lookups import find_target
 from cornelgap.entry.peering import relay_datagram
 from cornelgap.entry.pins import ensure_target, is_usable
 from cornelgap.entry.replies import (
@@ -218,6 +219,11 @@
         code = Code.REQ_NO_SERVICE if service is None else Code.REQ_STOPPING
         refuse_datagram(state, address, message, size, code, BEHIND_RETRY_MS)
         return
+    if _is_behind(state, token):
+        refuse_datagram(
+            state, address, message, size, Code.REQ_BEHIND, BEHIND_RETRY_MS
+        )
+        return
     urgent = not isinstance(message, msg.Close)
     if not state.rehome_pacer.take(now, urgent=urgent):
         refuse_datagram(
@@ -250,6 +256,19 @@
     )
 
 
+def _is_behind(state, token):
+    """Say whether this instance lacks the facts that a token relies on.
+
+    A target that is not known here may be new, not gone.  Choosing another
+    one by an older configuration would move a feed off its target for
+    nothing, perhaps to one that has left; so the datagram is refused until
+    the newer configuration is here, within a fraction of a second.
+    """
+    if token.revision <= state.cfg.revision:
+        return False
+    return find_target(state, token.service, token.target) is None
+
+
 def _handle_request(state, now, flow, message, size):
     requests.handle_request(state, now, flow, message, size)
 
