--- a/features/proof_traps.feature
+++ b/features/proof_traps.feature
@@ -72,6 +72,24 @@
     Then the proof checkers have no objection
     But they object once the guard "no-blind-retry" is taken out
 
+  @trap-04 @must-at-most-once
+  Scenario: A successor that restarted takes no repeated handover
+    A successor takes a flow, runs a hold, and is replaced at its address
+    before its answer to the handover is in.  The leaving entry repeats it;
+    the old window would let a copy of that hold run again.
+    When the proof story "repeated handover" is played
+    Then the proof checkers have no objection
+    But they object once the guard "handover-boot" is taken out
+
+  @trap-08 @must-own-service
+  Scenario: An entry that lags does not guess a target
+    A new configuration has not reached an entry yet.  It gets a packet of
+    a dead home's flow whose target it has never heard of.  Any other target
+    of its old list may have left long ago.
+    When the proof story "old revision" is played
+    Then the proof checkers have no objection
+    But they object once the guard "behind" is taken out
+
   @trap-11 @must-config-in-force
   Scenario: An older revision is never put in force
     The platform's store answers from a replica that lags.  Going back
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -205,6 +205,14 @@
     patches.replace_function(handover.take_records, take_records)
 
 
+def _take_foreign(patches):
+    patches.replace_function(handover._may_take, lambda *args: True)
+
+
+def _skip_behind(patches):
+    patches.replace_function(routing._is_behind, lambda *args: False)
+
+
 def _hop_on(patches):
     patches.set_attr(peering, 'MAX_HOPS', 1000)
 
@@ -291,6 +299,18 @@
         'a record taken before is left alone',
         _take_twice,
     ),
+    Guard(
+        'handover-boot',
+        4,
+        'a handover is taken only by the process that it is meant for',
+        _take_foreign,
+    ),
+    Guard(
+        'behind',
+        8,
+        'an older configuration moves no flow off an unknown target',
+        _skip_behind,
+    ),
     Guard('hop-limit', 0, 'a relayed packet ends after two hops', _hop_on),
     Guard('token-tag', 0, 'a token that was not minted is refused', _skip_tag),
 )
