Prove the whole path with each part as a process of its own

Request through fabric and two entry instances; both stopping at once while a feed is live ends with exit code 0.

--- a/features/whole_path.feature
+++ b/features/whole_path.feature
@@ -11,6 +11,6 @@
     a feed that nobody can take over ends with them, not before.
 
     Given a platform, a target and two entry instances as processes
-    When a caller follows a feed for some events
+    When a caller follows a feed and has its first events
     And both entry instances are told to stop
     Then both end with exit code 0
