Serve administration, metrics, health and probes at each entry instance

Cause: operators could neither see nor stop an instance, and its servers for peers and operators spoke without TLS. A section [tls] is now required; 'mode = off' says so explicitly and each start logs it. [platform_tls] and [target_tls] may differ. [admin] operators names those who may stop an instance. An instance that the configuration drains begins a planned stop.

The settings of every instance need '[tls] mode = off' where TLS is off.

Each guard was taken out once and its scenario was red: operators' names, the client's certificate, TLS left out, draining by configuration, deregistration.

--- a/cornelgap/core/control.py
+++ b/cornelgap/core/control.py
@@ -16,6 +16,7 @@
     :param address: ``host:port`` of its UDP socket for peers.
     :param api: ``host:port`` of its gRPC server for peers.
     :param leaving: it has begun a planned stop.
+    :param admin: ``host:port`` of its administration API.
     """
 
     name: str
@@ -23,6 +24,7 @@
     address: str
     api: str = ''
     leaving: bool = False
+    admin: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelgap/entry/admin.py
+++ b/cornelgap/entry/admin.py
@@ -50,7 +50,7 @@
                 extra={'who': who, 'code': str(Code.OPS_FORBIDDEN)},
             )
             await context.abort(
-                grpc.StatusCode.PERMISSION_DENIED, Code.OPS_FORBIDDEN
+                grpc.StatusCode.PERMISSION_DENIED, str(Code.OPS_FORBIDDEN)
             )
         _LOG.info('admin: planned stop begins', extra={'who': who})
         self._leave()
--- a/cornelgap/entry/cfg_actor.py
+++ b/cornelgap/entry/cfg_actor.py
@@ -101,9 +101,13 @@
     :param packet: reference to the packet actor.
     :param loops: :class:`cornelgap.kernel.loops.LoopThread`.
     :param clients: :class:`cornelgap.entry.peer_clients.PeerClients`.
+    :param leave: begins a planned stop, when the configuration says that
+        this instance drains; must not block.
     """
 
-    def __init__(self, scope, distribution, store, packet, loops, clients):
+    def __init__(
+        self, scope, distribution, store, packet, loops, clients, leave=None
+    ):
         """Prepare; nothing is asked before the first pulse."""
         super().__init__(scope, CFG)
         self._distribution = distribution
@@ -111,6 +115,7 @@
         self._packet = packet
         self._loops = loops
         self._clients = clients
+        self._leave = leave
         self._bundle = b''
         self._watch = None
         self._pulses = 0
@@ -217,6 +222,8 @@
         self._bundle = bundle
         tell_ref(self._packet, AdoptCfg(cfg, bundle))
         _LOG.info('cfg: in force', extra={'revision': cfg.revision})
+        if self._leave and self.scope in cfg.draining_instances:
+            self._leave()
 
     def _carry_out(self, action):
         if isinstance(action, ReadPlatform):
--- a/cornelgap/entry/channels.py
+++ b/cornelgap/entry/channels.py
@@ -51,9 +51,9 @@
         self._connecting = None
 
     @classmethod
-    def from_address(cls, address, credentials=None):
+    def from_address(cls, address, credentials=None, options=()):
         """Open a channel to ``host:port``, with TLS if credentials are set."""
-        options = list(CHANNEL_OPTIONS)
+        options = [*CHANNEL_OPTIONS, *options]
         if credentials is None:
             return cls(address, aio.insecure_channel(address, options))
         return cls(address, aio.secure_channel(address, credentials, options))
--- a/cornelgap/entry/instances.py
+++ b/cornelgap/entry/instances.py
@@ -156,6 +156,7 @@
             address=own.address,
             api=own.api,
             leaving=self._leaving,
+            admin=own.admin,
         )
 
 
--- a/cornelgap/entry/links.py
+++ b/cornelgap/entry/links.py
@@ -32,6 +32,7 @@
     def __init__(self, loops, report, now=time.monotonic, wall=time.time):
         """Hold no channel yet; see :meth:`from_settings`."""
         self.credentials = None
+        self.options = ()
         self._loops = loops
         self._report = report
         self._now = now
@@ -50,6 +51,7 @@
         loops,
         report,
         credentials=None,
+        options=(),
         now=time.monotonic,
         wall=time.time,
     ):
@@ -59,11 +61,13 @@
         :param report: called in the loop's thread with a list of
             :class:`PieceArrived` and :class:`CallEnded`; must not block.
         :param credentials: gRPC channel credentials, None for no TLS.
+        :param options: channel options that belong to them.
         :param now: the engine's clock in seconds.
         :param wall: seconds since the epoch, for absolute deadlines only.
         """
         links = cls(loops, report, now, wall)
         links.credentials = credentials
+        links.options = options
         return links
 
     def put(self, effects):
@@ -106,7 +110,9 @@
     def _start_call(self, effect):
         link = self._channels.get(effect.address)
         if link is None:
-            link = TargetChannel.from_address(effect.address, self.credentials)
+            link = TargetChannel.from_address(
+                effect.address, self.credentials, self.options
+            )
             self._channels[effect.address] = link
         link.calls += 1
         call = TargetCall(
--- a/cornelgap/entry/main.py
+++ b/cornelgap/entry/main.py
@@ -8,6 +8,8 @@
 
 from cornelgap.entry.node import EntryNode
 from cornelgap.entry.settings import load_settings
+from cornelgap.entry.trust import load_trust
+from cornelgap.kernel.logs import check_levels, configure_logs
 
 EXIT_SETTINGS = 2
 EXIT_CRASHED = 3
@@ -22,11 +24,12 @@
     :param settings: INI file of this instance.
     """
     loaded, errors = load_settings(settings)
-    if errors:
-        for exc in errors:
-            print(exc, file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    node = EntryNode.from_settings(loaded)
+    _end_on_errors(errors)
+    trust, errors = load_trust(loaded.sections)
+    levels = loaded.sections.get('logs', {})
+    _end_on_errors(errors + check_levels(levels))
+    configure_logs(levels, loaded.name)
+    node = EntryNode.from_settings(loaded, trust)
     node.start()
     _print_addresses(node)
 
@@ -41,6 +44,13 @@
         sys.exit(EXIT_CRASHED)
 
 
+def _end_on_errors(errors):
+    for exc in errors:
+        print(exc, file=sys.stderr)
+    if errors:
+        sys.exit(EXIT_SETTINGS)
+
+
 def _print_addresses(node):
     """Print one line of JSON, so that a starter learns the ports."""
     line = {
@@ -48,6 +58,7 @@
         'public': node.public,
         'private': node.private,
         'api': node.api,
+        'admin': node.admin,
     }
     print(json.dumps(line), flush=True)
 
--- a/cornelgap/entry/node.py
+++ b/cornelgap/entry/node.py
@@ -6,8 +6,9 @@
 
 import random
 import threading
+import time
 
-from cornelgap.cfg.store import PlatformStore
+from cornelgap.cfg.store import CHANNEL_OPTIONS, PlatformStore
 from cornelgap.core.control import Instance
 from cornelgap.core.token import make_nonce
 from cornelgap.entry.cfg_actor import CFG, CfgActor, ReadBundle
@@ -19,6 +20,7 @@
     InstancesActor,
 )
 from cornelgap.entry.links import TargetLinks
+from cornelgap.entry.operations import Operations
 from cornelgap.entry.packets import (
     PACKETS,
     CallEvents,
@@ -30,6 +32,12 @@
 )
 from cornelgap.entry.peer_clients import PeerClients, make_hand_over
 from cornelgap.entry.peer_server import PeerService, start_peer_server
+from cornelgap.kernel.credentials import (
+    list_options,
+    load_channel,
+    load_server,
+    open_channel,
+)
 from cornelgap.kernel.loops import LoopThread
 from cornelgap.kernel.names import get_service, tell_service
 from cornelgap.kernel.supervision import Supervisor
@@ -42,17 +50,22 @@
     """All tasks of one entry instance.
 
     :param settings: :class:`cornelgap.entry.settings.Settings`.
+    :param trust: :class:`cornelgap.entry.trust.Trust`.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, trust):
         """Prepare; nothing runs before :meth:`start`."""
         self.settings = settings
+        self.trust = trust
         self.boot = make_nonce()
         self.ended = threading.Event()
         self.crashed = ''
         self.public = ''
         self.private = ''
         self.api = ''
+        self.admin = ''
+        self._started = time.monotonic()
+        self._operations = None
         self._refs = []
         self._loops = None
         self._links = None
@@ -61,20 +74,30 @@
         self._server = None
 
     @classmethod
-    def from_settings(cls, settings):
+    def from_settings(cls, settings, trust):
         """Build the node of one process."""
-        return cls(settings)
+        return cls(settings, trust)
 
     def start(self):
         """Open sockets and servers and start all tasks."""
         settings = self.settings
         self._loops = LoopThread.start_new(f'loop-{settings.name}')
-        self._store = PlatformStore.from_address(settings.platform)
-        self._clients = PeerClients(settings.name)
+        trust = self.trust
+        self._store = PlatformStore(
+            open_channel(settings.platform, trust.platform, CHANNEL_OPTIONS)
+        )
+        self._clients = PeerClients(
+            settings.name, load_channel(trust.fleet), list_options(trust.fleet)
+        )
         self._refs.append(Supervisor.start(settings.name, self._note_crash))
         self._start_peer_server()
         packets = self._start_packets()
+        self._operations = Operations.start(
+            settings, trust, self._loops, self.leave, self._started
+        )
+        self.admin = self._operations.admin
         self._start_control(packets)
+        self._operations.watch_actors(settings.name)
 
     def leave(self):
         """Begin a planned stop; :attr:`ended` is set when it is complete."""
@@ -84,6 +107,7 @@
 
     def stop(self):
         """Stop all tasks, last started first."""
+        self._operations.stop()
         for ref in reversed(self._refs):
             ref.stop()
         self._loops.submit(self._server.stop(0)).result(START_S)
@@ -102,7 +126,9 @@
     def _start_peer_server(self):
         service = PeerService(self.boot, self._ask_cfg, self._ask_handover)
         self._server, port = self._loops.submit(
-            start_peer_server(service, self.settings.api)
+            start_peer_server(
+                service, self.settings.api, load_server(self.trust.fleet)
+            )
         ).result(START_S)
         host = self.settings.api.rpartition(':')[0]
         self.api = f'{host}:{port}'
@@ -118,7 +144,10 @@
             settings.name, settings.zone, self.boot, rng, self.api
         )
         self._links = TargetLinks.from_settings(
-            self._loops, self._report_events
+            self._loops,
+            self._report_events,
+            load_channel(self.trust.targets),
+            list_options(self.trust.targets),
         )
         hand_over = make_hand_over(
             self._loops,
@@ -143,7 +172,13 @@
 
     def _start_control(self, packets):
         settings = self.settings
-        own = Instance(settings.name, settings.zone, self.private, self.api)
+        own = Instance(
+            settings.name,
+            settings.zone,
+            self.private,
+            self.api,
+            admin=self.admin,
+        )
         self._refs.append(
             InstancesActor.start(
                 settings.name, own, self._store, packets, self._loops
@@ -161,6 +196,7 @@
                 packets,
                 self._loops,
                 self._clients,
+                self.leave,
             )
         )
 
--- a/cornelgap/entry/peer_clients.py
+++ b/cornelgap/entry/peer_clients.py
@@ -33,13 +33,15 @@
 class PeerClients:
     """Channels to peers; lives in the loop's thread."""
 
-    def __init__(self, own, credentials=None):
+    def __init__(self, own, credentials=None, options=()):
         """Hold no channel yet.
 
         :param own: name of this instance.
         :param credentials: gRPC channel credentials, None for no TLS.
+        :param options: channel options that belong to them.
         """
         self._own = own
+        self._options = (*CHANNEL_OPTIONS, *options)
         self._credentials = credentials
         self._channels = {}
 
@@ -94,8 +96,8 @@
 
     def _open_channel(self, api):
         if self._credentials is None:
-            return aio.insecure_channel(api, CHANNEL_OPTIONS)
-        return aio.secure_channel(api, self._credentials, CHANNEL_OPTIONS)
+            return aio.insecure_channel(api, self._options)
+        return aio.secure_channel(api, self._credentials, self._options)
 
 
 def make_hand_over(loops, clients, boot, find_api, report):
