--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -224,7 +224,7 @@
 def make_files(folder):
     """Fill a folder with real files of this repository and larger ones.
 
-    :returns: names, smaller ones first.
+    :returns: names of the smallest and the largest ones.
     """
     folder.mkdir()
     sources = [*ROOT.glob('docs/*.md'), *ROOT.glob('proto/*.proto')]
@@ -236,7 +236,8 @@
     text = b''.join(path.read_bytes() for path in sources)
     lines = [b'%d %d\n' % (at, at * at) for at in range(60000)]
     (folder / 'large.txt').write_bytes(text + b''.join(lines))
-    return [path.name for path in sorted(folder.iterdir(), key=_get_size)]
+    names = [path.name for path in sorted(folder.iterdir(), key=_get_size)]
+    return [*names[:4], *names[-4:]]
 
 
 def _get_size(path):
--- a/cornelgap/call/load.py
+++ b/cornelgap/call/load.py
@@ -144,7 +144,10 @@
 
     def _send_request(self, now, caller):
         if not caller.payload:
-            template = self.plan.requests[caller.turn % len(self.plan.requests)]
+            # Callers begin at different payloads, or all of them would ask
+            # for the same large document at the same time.
+            place = (caller.index + caller.turn) % len(self.plan.requests)
+            template = self.plan.requests[place]
             caller.payload = template.replace(
                 '{flow}', caller.flow.flow.hex()
             ).replace('{n}', str(caller.turn))
