--- a/cornelgap/operators/fleet.py
+++ b/cornelgap/operators/fleet.py
@@ -76,22 +76,44 @@
             for instance, call in zip(instances, calls, strict=True)
         ]
 
-    def _start_call(self, instance):
+    def ask_drain(self, instance, who):
+        """Ask one instance to start its planned stop.
+
+        :param instance: wire ``Instance``.
+        :param who: who asks, for the instance's log.
+        :return: empty if it has accepted, otherwise why not.
+        """
+        req = admin_pb2.DrainRequest(who=who)
+        try:
+            reply = self._open_stub(instance).Drain(
+                req, timeout=self._timeout_s
+            )
+        except grpc.RpcError as exc:
+            return _phrase_silence(exc)
+        return '' if reply.accepted else 'refused'
+
+    def _open_stub(self, instance):
         address = instance.admin or instance.api
         if address not in self._channels:
             self._channels[address] = self._open_channel(address)
-        stub = AdminStub(self._channels[address])
-        return stub.Status.future(
+        return AdminStub(self._channels[address])
+
+    def _start_call(self, instance):
+        return self._open_stub(instance).Status.future(
             admin_pb2.StatusRequest(), timeout=self._timeout_s
         )
 
 
+def _phrase_silence(exc):
+    return f'no answer ({exc.code().name.lower()})'
+
+
 def _finish_call(instance, call):
     reply, reason = None, ''
     try:
         reply = call.result()
     except grpc.RpcError as exc:
-        reason = f'no answer ({exc.code().name.lower()})'
+        reason = _phrase_silence(exc)
     return InstanceStatus(
         instance.name, instance.zone, instance.leaving, reply, reason
     )
--- a/cornelgap/operators/fleet_commands.py
+++ b/cornelgap/operators/fleet_commands.py
@@ -82,4 +82,20 @@
         return applying.plan_change(base, cfg)
 
     make_plan = plan_target if kind == 'target' else plan_instance
-    return change_in_force(connection, options, make_plan)[1]
+    result, code = change_in_force(connection, options, make_plan)
+    accepted = result is not None and result.accepted
+    if accepted and draining and kind == 'instance':
+        _ask_drain(connection, name)
+    return code
+
+
+def _ask_drain(connection, name):
+    """Tell the instance itself as well, so that it starts at once."""
+    reach = Reach.from_connection(connection)
+    with reach.open_store() as store:
+        instances = store.list_instances('entry')
+    with contextlib.closing(Fleet(reach.open_channel)) as fleet:
+        for instance in instances:
+            if instance.name == name:
+                reason = fleet.ask_drain(instance, reach.author)
+                print(f'{name}: {reason or "has started its planned stop"}')
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -121,6 +121,7 @@
   Scenario: Targets and instances are drained and taken back
     When operator "amal" runs "drain instance e1 -m kernel"
     Then the command exits with 0 and prints "instance.e1.draining: (absent) -> yes"
+    And it prints "e1: has started its planned stop"
     When operator "amal" runs "undrain instance e1 -m kernel"
     Then the command exits with 0 and prints "instance.e1.draining: yes -> (absent)"
     When operator "amal" runs "drain target s1 -m disk"
--- a/features/steps/cfg_operators_steps.py
+++ b/features/steps/cfg_operators_steps.py
@@ -74,6 +74,9 @@
             targets=self.targets,
         )
 
+    def Drain(self, req, context):
+        return admin_pb2.DrainReply(accepted=True)
+
 
 @given('the cfg stand-in platform with {count:d} entries that follow it')
 def start_all(context, count):
