--- a/cornelgap/entry/handover.py
+++ b/cornelgap/entry/handover.py
@@ -17,6 +17,7 @@
 from cornelgap.core.window import decode_seen, encode_seen
 from cornelgap.entry import answers
 from cornelgap.entry.feeds import add_feed, end_feed
+from cornelgap.entry.lookups import find_target
 from cornelgap.entry.pins import ensure_target
 from cornelgap.entry.replies import mint_flow_token, send_message
 from cornelgap.entry.state import (
@@ -68,6 +69,7 @@
 @dataclass(slots=True)
 class _Batch:
     peer: str
+    boot: int
     records: list
     sent_at: float
 
@@ -89,12 +91,19 @@
     """
     if not state.leaving or state.batches or state.open_requests:
         return False
-    has_peers = bool(state.membership.list_live(now))
-    if has_peers and any(not it.moved_to for it in state.flows.values()):
+    if state.membership.list_live(now) and _count_unmoved(state):
         return False
     return now - state.handed_at >= LINGER_S
 
 
+def _count_unmoved(state):
+    services = state.cfg.services
+    return sum(
+        not flow.moved_to and flow.service in services
+        for flow in state.flows.values()
+    )
+
+
 def hand_over_flows(state, now):
     """Send the next batches to successors, and again what got no answer."""
     if not state.leaving:
@@ -103,8 +112,9 @@
     _repeat_batches(state, now)
     busy = {batch.peer for batch in state.batches.values()}
     for peer in peers:
-        if peer not in busy:
-            _send_batch(state, now, peer)
+        boot = state.membership.find_boot(peer)
+        if boot and peer not in busy:
+            _send_batch(state, now, peer, boot)
 
 
 def _repeat_batches(state, now):
@@ -112,7 +122,7 @@
         if now - batch.sent_at < BATCH_TIMEOUT_S:
             continue
         batch.sent_at = now
-        if state.membership.is_lost(now, batch.peer, 0):
+        if state.membership.is_lost(now, batch.peer, batch.boot):
             # The successor may have taken them before it was lost, so they
             # stay its own; their callers re-home them in a new id space.
             state.batches.pop(batch_id)
@@ -121,7 +131,7 @@
             state.effects.append(HandOver(batch_id, batch.peer, batch.records))
 
 
-def _send_batch(state, now, peer):
+def _send_batch(state, now, peer, boot):
     records = []
     size = 0
     for flow in state.flows.values():
@@ -129,14 +139,16 @@
             break
         if flow.moved_to or not _is_quiet(flow):
             continue
+        if flow.service not in state.cfg.services:
+            continue
         flow.moved_to = peer
-        records.append(_build_record(state, now, flow))
+        records.append(_build_record(state, now, flow, boot))
         size += records[-1].ByteSize()
     if not records:
         return
     batch_id = state.next_batch_id
     state.next_batch_id += 1
-    state.batches[batch_id] = _Batch(peer, records, now)
+    state.batches[batch_id] = _Batch(peer, boot, records, now)
     state.effects.append(HandOver(batch_id, peer, records))
 
 
@@ -144,7 +156,7 @@
     return all(kept.verdict for kept in (flow.kept or {}).values())
 
 
-def _build_record(state, now, flow):
+def _build_record(state, now, flow, boot):
     flow_id, epoch = split_key(flow.key)
     host, port = flow.address
     record = pb.FlowRecord(
@@ -157,6 +169,8 @@
         caller_host=host,
         caller_port=port,
         token_left_ms=int(max(0, flow.expiry - now) * 1000),
+        successor_boot=boot,
+        revision=state.cfg.revision,
     )
     for kept in (flow.kept or {}).values():
         record.kept.append(_build_kept(kept))
@@ -182,9 +196,19 @@
 
 
 def finish_batch(state, now, event):
-    """Take a successor's answer: let go of what it has taken."""
+    """Take a successor's answer: let go of the flows, or take them back.
+
+    A successor that leaves takes nothing any more, so its refusal is for
+    good and the flows are this instance's again; without that, two
+    instances that stop together would each point at the other.  After any
+    other refusal a late copy of the batch might still be taken, so it is
+    only sent again, to the same one.
+    """
     batch = state.batches.get(event.batch_id)
-    if batch is None or not event.taken:
+    if batch is None:
+        return
+    is_leaving = batch.peer not in state.membership.list_live(now)
+    if not event.taken and not is_leaving:
         return
     state.batches.pop(event.batch_id)
     state.handed_at = now
@@ -192,29 +216,57 @@
         flow = state.flows.get(make_key(record.flow_id, record.epoch))
         if flow is None:
             continue
-        for feed in list((flow.feeds or {}).values()):
-            end_feed(state, flow, feed)
-        flow.kept = None
+        if event.taken:
+            _release_flow(state, flow)
+        else:
+            flow.moved_to = ''
     count_event(state, 'handover_batches')
 
 
+def _release_flow(state, flow):
+    for feed in list((flow.feeds or {}).values()):
+        end_feed(state, flow, feed)
+    flow.kept = None
+
+
 def take_records(state, now, records):
     """Become the home of flows that another instance hands over.
 
-    A record that was taken before is left alone: the first answer was
-    lost, and what has happened here since is the newer truth.
+    A batch is taken whole or not at all, so that its sender can take it
+    back after a refusal.  A record that was taken before is left alone:
+    the first answer was lost, and what has happened here since is the
+    newer truth.
 
     :returns: how many flows are owned here now.
     """
-    taken = 0
-    for record in records:
-        if record.service not in state.cfg.services:
-            continue
-        taken += 1
-        key = make_key(record.flow_id, record.epoch)
-        if key not in state.flows:
-            _take_record(state, now, key, record)
-    return taken
+    keys = [make_key(record.flow_id, record.epoch) for record in records]
+    if all(_is_taken(state, *pair) for pair in zip(keys, records)):
+        return len(records)
+    if state.leaving or not all(_may_take(state, it) for it in records):
+        return 0
+    for key, record in zip(keys, records):
+        _take_record(state, now, key, record)
+    return len(records)
+
+
+def _is_taken(state, key, record):
+    return record.successor_boot == state.boot and key in state.flows
+
+
+def _may_take(state, record):
+    """Say whether a record is meant for this process and can be served.
+
+    A batch is repeated when its answer is lost.  If the successor has been
+    restarted in between, the new process would take an old window under the
+    same ids, and a hold that the old process ran would run again; the
+    caller would see it doubled.  Only the boot that was meant may take it.
+    """
+    if record.successor_boot != state.boot:
+        return False
+    if record.service not in state.cfg.services:
+        return False
+    known = find_target(state, record.service, record.target) is not None
+    return known or record.revision <= state.cfg.revision
 
 
 def _take_record(state, now, key, record):
