Name a gap again after two round trips, not after four

Cause: a lost chunk stalled its answer until the 60 ms silence timer, since the home ignored a name within 40 ms of the sending. Change: named chunks are sent again after 10 ms, and a caller with a gap names it every 15 ms.

--- a/cornelgap/call/answer.py
+++ b/cornelgap/call/answer.py
@@ -51,6 +51,10 @@
         """Say whether every chunk is there."""
         return 0 <= self.last < self.position
 
+    def has_gap(self):
+        """Say whether a chunk is missing below the highest one."""
+        return self.position <= self.highest
+
     def join_chunks(self):
         """Join a whole answer."""
         return b''.join(
--- a/cornelgap/call/pending.py
+++ b/cornelgap/call/pending.py
@@ -13,6 +13,10 @@
 QUERY_S = 0.5
 """Between two questions about a request that the home knows."""
 
+GAP_S = 0.015
+"""Silence after which a known gap is named again, about two round trips of
+the farthest caller; the home has sent the chunk again within one."""
+
 STALL_S = 0.06
 """Silence inside an answer after which missing chunks count as lost."""
 
@@ -49,7 +53,7 @@
         """Build what is due now and set the next time."""
         if self.is_streaming():
             self.stalls += 1
-            delay = min(STALL_S * 2 ** min(self.stalls, 4), QUERY_S)
+            delay = min(self._pick_stall() * 2 ** min(self.stalls, 5), QUERY_S)
             self.due = now + pick_delay(rng, delay)
             return self.build_ack(service, token, silent=True)
         if self.known:
@@ -94,9 +98,12 @@
             return False
         self.stalls = 0
         self.unacked += 1
-        self.due = now + STALL_S
+        self.due = now + self._pick_stall()
         return self.answer.is_whole() or self.unacked >= ACK_CHUNKS
 
+    def _pick_stall(self):
+        return GAP_S if self.answer.has_gap() else STALL_S
+
     def note_progress(self, now, retry_after_ms):
         """Note that the home knows the request."""
         self.known = True
--- a/cornelgap/core/meanings.py
+++ b/cornelgap/core/meanings.py
@@ -55,6 +55,8 @@
     'verdict says whether it may have run.',
     Code.REQ_CALLER_SHARE: 'The caller holds its whole share of the queue; '
     'come back after the stated time.',
+    Code.REQ_OVERLOADED: 'The entry instance has more datagrams than it '
+    'can handle; send the same datagram again after the stated time.',
     Code.REQ_MOVING: 'The flow is being handed to another entry; send the '
     'same datagram again.',
     Code.CFG_SYNTAX: 'A line of the folder is no section, option or comment.',
--- a/cornelgap/entry/answers.py
+++ b/cornelgap/entry/answers.py
@@ -20,9 +20,12 @@
 PIECES_AHEAD = 2
 """Pieces of the target that may be under way at once."""
 
+RESEND_NAMED_S = 0.01
+"""A chunk that the caller names as missing is not sent again within this
+time: one round trip is about 8 ms for the farthest caller."""
+
 RESEND_AFTER_S = 0.04
-"""A chunk is not sent again within this time: one round trip is about
-8 ms for the farthest caller, and reordering takes a few more."""
+"""The same for a chunk that the caller has not named: it may be late."""
 
 RESEND_BATCH = 16
 """Most chunks that one acknowledgement may bring back."""
@@ -92,13 +95,16 @@
         del out.sent_at[:done]
         out.base += done
     wanted = missing or [out.base]
-    return [at for at in wanted[:RESEND_BATCH] if _may_resend(out, now, at)]
+    least_s = RESEND_NAMED_S if missing else RESEND_AFTER_S
+    return [
+        at for at in wanted[:RESEND_BATCH] if _may_resend(out, now, at, least_s)
+    ]
 
 
-def _may_resend(out, now, position):
+def _may_resend(out, now, position, least_s):
     if not out.base <= position < out.cursor:
         return False
-    return now - out.sent_at[position - out.base] >= RESEND_AFTER_S
+    return now - out.sent_at[position - out.base] >= least_s
 
 
 def take_unsent(out):
