--- a/cornelgap/entry/metric_list.py
+++ b/cornelgap/entry/metric_list.py
@@ -30,6 +30,22 @@
         'datagrams_hops_exceeded_total',
         'Datagrams dropped because they were relayed too often.',
     ),
+    'peer_sent': (
+        'peer_datagrams_sent_total',
+        'Datagrams sent to peers, relayed ones too.',
+    ),
+    'peer_received': (
+        'peer_datagrams_received_total',
+        'Datagrams received from peers, relayed ones too.',
+    ),
+    'peer_sent_bytes': (
+        'peer_sent_bytes_total',
+        'Bytes of datagrams sent to peers, without IP headers.',
+    ),
+    'peer_received_bytes': (
+        'peer_received_bytes_total',
+        'Bytes of datagrams received from peers, without IP headers.',
+    ),
     'send_failed': (
         'datagrams_unsent_total',
         'Datagrams that the kernel did not take.',
--- a/cornelgap/entry/packets.py
+++ b/cornelgap/entry/packets.py
@@ -163,6 +163,7 @@
         self._carry_out(self._engine.handle_caller(now, data, address))
 
     def _handle_private(self, now, data, address):
+        self._count_peer('received', data)
         source = format_address(address)
         self._carry_out(self._engine.handle_peer(now, data, source))
 
@@ -214,8 +215,14 @@
     def _send_peer(self, effect):
         address = self._engine.state.membership.find_address(effect.peer)
         if address:
+            self._count_peer('sent', effect.datagram)
             self._send(self._private, effect.datagram, parse_address(address))
 
+    def _count_peer(self, way, datagram):
+        counters = self._engine.state.counters
+        counters[f'peer_{way}'] += 1
+        counters[f'peer_{way}_bytes'] += len(datagram)
+
     def _send(self, sock, datagram, address):
         try:
             sock.sendto(datagram, address)
