--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -30,6 +30,7 @@
     targets: int
     slots: int
     serves_files: bool = False
+    token_s: int = 900
 
 
 @dataclass(frozen=True)
@@ -131,7 +132,8 @@
         lines = []
         for index, service in enumerate(self.plan.services):
             lines += [f'[service {service.name}]']
-            lines += [f'address = 10.0.0.{index + 1}:9000', '']
+            lines += [f'address = 10.0.0.{index + 1}:9000']
+            lines += [f'token_s = {service.token_s}', '']
         for index, (name, (service, proc)) in enumerate(self.targets.items()):
             lines += [f'[target {name}]', f'service = {service.name}']
             lines += [f'address = {proc.greeting["address"]}']
