Prune parts that past revisions left behind

Deleting by content address alone was ruled out: a part that comes back in force has the same address, and a pruner that was paused would delete it. A part's object is therefore named by the revision that first wrote it as well; whatever a root of any age does not name below its own revision stays unused for good.

--- a/cornelgap/cfg/document.py
+++ b/cornelgap/cfg/document.py
@@ -66,7 +66,7 @@
     """Encode the root that names the parts.
 
     :param cfg: the Cfg, whose revision the root states.
-    :param parts: what :func:`encode_parts` gave.
+    :param parts: revision that first wrote each part, by digest, in order.
     :param entries: newest audit entries as bytes, oldest first.
     :param segment: digest of the newest audit segment.
     """
@@ -74,7 +74,10 @@
         wire.Root(
             format=FORMAT,
             revision=cfg.revision,
-            parts=list(parts),
+            parts=[
+                wire.PartRef(digest=address, revision=revision)
+                for address, revision in parts.items()
+            ],
             draining_instances=sorted(cfg.draining_instances),
             entries=entries,
             segment=segment,
@@ -108,7 +111,9 @@
     :param segment: digest of the newest audit segment.
     """
     parts = encode_parts(cfg)
-    root = encode_root(cfg, parts, entries, segment)
+    root = encode_root(
+        cfg, dict.fromkeys(parts, cfg.revision), entries, segment
+    )
     return join_bundle(root, parts.values())
 
 
@@ -167,7 +172,7 @@
     if findings:
         return data
     have = list_parts(older) | list_parts(data)
-    parts = [have[address] for address in root.parts if address in have]
+    parts = [have[ref.digest] for ref in root.parts if ref.digest in have]
     return join_bundle(bundle.root, parts)
 
 
@@ -222,7 +227,7 @@
 def _build_cfg(root, parts):
     # A part that was altered or is missing would drop services silently;
     # callers would hear that their service does not exist.
-    if [digest(part) for part in parts] != list(root.parts):
+    if [digest(part) for part in parts] != [ref.digest for ref in root.parts]:
         return None, [_report_corrupt('parts are missing or altered')]
     services = {}
     keys = {}
--- a/cornelgap/cfg/publishing.py
+++ b/cornelgap/cfg/publishing.py
@@ -12,13 +12,28 @@
 
 from cornelgap.cfg import audit, document
 from cornelgap.cfg.comparison import list_changes
-from cornelgap.cfg.findings import CfgFinding
+from cornelgap.cfg.pruning import prune_parts
+from cornelgap.cfg.reading import (
+    ROOT_NAME,
+    list_since,
+    name_part,
+    read_base,
+    read_current,
+    read_root,
+)
 from cornelgap.core.errors import Code, CodedError
-from cornelgap.core.settings import Cfg
-from cornelgap.wire import document_pb2 as wire
 
-ROOT_NAME = 'cfg/root'
-PART_PREFIX = 'cfg/part/'
+# Reading is used along with publishing, so it is found here as well.
+__all__ = (
+    'ROOT_NAME',
+    'PublishResult',
+    'publish',
+    'read_current',
+    'read_root',
+)
+
+
+_PRUNE_EVERY = 16
 
 # Waits between tries to settle a lost answer: about 6 s in all, the length
 # of a short outage.  After that the operator repeats with the write id.
@@ -64,59 +79,6 @@
     objects: dict = field(default_factory=dict)
 
 
-def read_root(store):
-    """Read the root in force.
-
-    :param store: the platform's store.
-    :return: version of the object, and the wire Root; version 0 and an
-        empty Root if nothing was published yet.
-    :raises CodedError: ``PLT_DOWN`` or ``PLT_CORRUPT``.
-    """
-    found = store.get(ROOT_NAME)
-    if found is None:
-        return 0, wire.Root(format=document.FORMAT)
-    root, findings = document.read_root(found.value)
-    if findings:
-        raise CodedError(Code.PLT_CORRUPT, findings[0].text, ROOT_NAME)
-    return found.version, root
-
-
-def read_current(store, known=b''):
-    """Read the configuration in force.
-
-    :param store: the platform's store.
-    :param known: a bundle read earlier; parts in it are not read again.
-    :return: the Cfg, its bundle and findings.  The Cfg is None if anything
-        is wrong; it has revision 0 and an empty bundle if nothing was
-        published yet.
-    """
-    try:
-        found = store.get(ROOT_NAME)
-        if found is None:
-            return Cfg(), b'', []
-        bundle = _fetch_bundle(store, found.value, known)
-    except CodedError as exc:
-        return None, b'', [CfgFinding(exc.code, exc.text, file=exc.place)]
-    cfg, findings = document.decode_bundle(bundle)
-    return cfg, bundle, findings
-
-
-def _fetch_bundle(store, data, known):
-    root, findings = document.read_root(data)
-    if findings:
-        raise CodedError(Code.PLT_CORRUPT, findings[0].text, ROOT_NAME)
-    have = document.list_parts(known)
-    for address in root.parts:
-        if address in have:
-            continue
-        name = f'{PART_PREFIX}{address.hex()}'
-        part = store.get(name)
-        if part is None:
-            raise CodedError(Code.PLT_CORRUPT, 'the part is missing', name)
-        have[address] = part.value
-    return document.join_bundle(data, [have[item] for item in root.parts])
-
-
 def publish(
     store,
     cfg,
@@ -147,9 +109,12 @@
     at_unix_ms = int(time.time() * 1000) if now_ms is None else now_ms
     new = audit.NewEntry(author, at_unix_ms, message, write_id, [])
     try:
-        return _publish(store, cfg, new, base_revision, pause)
+        result = _publish(store, cfg, new, base_revision, pause)
     except CodedError as exc:
         return PublishResult(False, exc.code, write_id=write_id, text=exc.text)
+    if result.accepted and result.revision % _PRUNE_EVERY == 0:
+        prune_parts(store)
+    return result
 
 
 def _publish(store, cfg, new, base_revision, pause):
@@ -181,29 +146,19 @@
     trail = audit.extend_trail(base, entry)
     parts = document.encode_parts(cfg)
     following = dataclasses.replace(cfg, revision=base.revision + 1)
-    root = document.encode_root(following, parts, trail.entries, trail.segment)
+    known = {ref.digest: ref.revision for ref in base.parts}
+    refs = {
+        address: known.get(address, following.revision) for address in parts
+    }
+    root = document.encode_root(following, refs, trail.entries, trail.segment)
     objects = {
-        f'{PART_PREFIX}{address.hex()}': value
+        name_part(address, refs[address]): value
         for address, value in parts.items()
-        if address not in base.parts
+        if address not in known
     }
     return _Attempt(base, version, root, objects | trail.objects)
 
 
-def read_base(store, root):
-    """Read the configuration that a root names.
-
-    :param store: the platform's store.
-    :param root: wire Root.
-    :return: the Cfg, its bundle and findings.
-    """
-    if not root.revision:
-        return Cfg(), b'', []
-    bundle = _fetch_bundle(store, document.seal_root(root), b'')
-    cfg, findings = document.decode_bundle(bundle)
-    return cfg, bundle, findings
-
-
 def _store_part(store, name, value, pause):
     """Store a content-addressed object; one that exists already is as good.
 
@@ -303,25 +258,6 @@
     return _lose_race(root, since, write_id)
 
 
-def list_since(store, root, revision):
-    """List the audit entries after a revision, newest first.
-
-    :param store: the platform's store.
-    :param root: wire Root in force.
-    :param revision: entries up to this one are left out.
-    :raises CodedError: ``OPS_AUDIT_BROKEN`` if the trail is broken before.
-    """
-    findings = []
-    entries = []
-    for record in audit.walk_trail(store, root, findings):
-        if record.revision <= revision:
-            return entries
-        entries.append(record)
-    if findings:
-        raise CodedError(Code.OPS_AUDIT_BROKEN, findings[0].text)
-    return entries
-
-
 def _find_own(store, root, write_id):
     """Find a repeated publication's entry among the newest ones."""
     for data in root.entries:
--- a/cornelgap/cfg/store.py
+++ b/cornelgap/cfg/store.py
@@ -79,8 +79,17 @@
         :return: :class:`PutResult`.
         """
 
-    def list(self, prefix):
-        """List objects as :class:`Named`, in the order of their names."""
+    def list(self, prefix, names_only=False):
+        """List objects as :class:`Named`, in the order of their names.
+
+        :param names_only: leave the values empty.
+        """
+
+    def delete(self, name, expected_version):
+        """Delete an object if its version is still the expected one.
+
+        :return: whether it was deleted.
+        """
 
     def watch(self, prefix):
         """Watch objects: first those that exist, then each change.
@@ -152,9 +161,15 @@
             current = Versioned(reply.current.version, reply.current.value)
         return PutResult(reply.accepted, current)
 
-    def list(self, prefix):
+    def delete(self, name, expected_version):
+        """Delete an object, see :class:`Store`."""
+        req = wire.DeleteRequest(name=name, expected_version=expected_version)
+        return self._read(self._stub.Delete, req).accepted
+
+    def list(self, prefix, names_only=False):
         """List objects, see :class:`Store`."""
-        reply = self._read(self._stub.List, wire.ListRequest(prefix=prefix))
+        req = wire.ListRequest(prefix=prefix, names_only=names_only)
+        reply = self._read(self._stub.List, req)
         return [
             Named(item.name, item.version, item.value) for item in reply.objects
         ]
--- a/features/cfg_publishing.feature
+++ b/features/cfg_publishing.feature
@@ -134,6 +134,23 @@
       | part   | altered |
       | root   | altered |
 
+  Scenario: Unused parts are pruned, and only those
+    Each change leaves a part behind. A pruner that was paused for hours acts
+    on what it had read; deleting a part that is in force again would take
+    services away from every entry that starts later.
+
+    When 130 cfg changes are published one after another
+    Then the cfg store holds fewer than 75 parts and a whole cfg
+    When 130 cfg changes are published one after another
+    Then a cfg pruner that was paused at each of these revisions harms nothing
+
+  Scenario: A slow reader is not told of damage when parts were pruned
+    A reader has the root and waits; meanwhile so much changes that a part of
+    its root is gone. Nothing is damaged, and nobody should be called.
+
+    When a slow reader has read the cfg root and 80 changes follow
+    Then the slow reader has cfg revision 81
+
   Scenario: A value beyond the platform's limit is refused before it is sent
     When a cfg value of 1000001 bytes is put into the store
     Then the cfg store refuses it with "PLT-004"
--- a/features/steps/cfg_publishing_steps.py
+++ b/features/steps/cfg_publishing_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import given as hypothesis_given
 from hypothesis import settings, strategies
 
-from cornelgap.cfg import audit, document, publishing
+from cornelgap.cfg import audit, document, pruning, publishing, reading
 from cornelgap.cfg.store import PlatformStore
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import Cfg, KeyCfg, ServiceCfg, TargetCfg
@@ -342,6 +342,54 @@
         context.error = exc
 
 
+@when('{count:d} cfg changes are published one after another')
+def publish_series(context, count):
+    context.roots = getattr(context, 'roots', [])
+    for number in range(count):
+        context.roots.append(publishing.read_root(context.store)[1])
+        done = publish_change(context, 'omar', 's1', queue_limit=200 + number)
+        assert done.accepted, done
+
+
+@then('the cfg store holds fewer than {limit:d} parts and a whole cfg')
+def check_pruned(context, limit):
+    parts = context.store.list(reading.PART_PREFIX, names_only=True)
+    assert len(parts) < limit, len(parts)
+    check_revision(context, publishing.read_root(context.store)[1].revision)
+
+
+@then('a cfg pruner that was paused at each of these revisions harms nothing')
+def check_paused_pruner(context):
+    for root in context.roots:
+        for item in pruning.list_unused(context.store, root):
+            context.store.delete(item.name, item.version)
+    check_revision(context, publishing.read_root(context.store)[1].revision)
+
+
+@when('a slow reader has read the cfg root and {count:d} changes follow')
+def read_slowly(context, count):
+    class SlowReader:
+        def __init__(self, store):
+            self.store = store
+            self.left = 1
+
+        def get(self, name):
+            found = self.store.get(name)
+            if name == ROOT and self.left:
+                self.left = 0
+                publish_series(context, count)
+            return found
+
+    context.read = publishing.read_current(SlowReader(context.store))
+
+
+@then('the slow reader has cfg revision {revision:d}')
+def check_slow_reader(context, revision):
+    cfg, _, findings = context.read
+    assert not findings, findings
+    assert cfg.revision == revision
+
+
 @then('the cfg store refuses it with "{code}"')
 def check_too_large(context, code):
     assert context.error.code == code
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -37,9 +37,14 @@
             raise CodedError(Code.PLT_ANSWER_LOST, 'too slow', name)
         return PutResult(accepted, current and Versioned(*current))
 
-    def list(self, prefix):
+    def delete(self, name, expected_version):
+        """Delete an object."""
+        return self._call(self.state.delete, name, expected_version)
+
+    def list(self, prefix, names_only=False):
         """List objects."""
-        return [Named(*item) for item in self._call(self.state.list, prefix)]
+        found = self._call(self.state.list, prefix, names_only)
+        return [Named(*item) for item in found]
 
     def watch(self, prefix):
         """Watch objects."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -59,9 +59,18 @@
         encoded = None if current is None else _encode(req.name, *current)
         return wire.PutReply(accepted=accepted, current=encoded)
 
+    def Delete(self, req, context):
+        """Delete an object of the expected version."""
+        accepted = self._call(
+            context, self._state.delete, req.name, req.expected_version
+        )
+        return wire.DeleteReply(accepted=accepted)
+
     def List(self, req, context):
         """List objects by prefix."""
-        found = self._call(context, self._state.list, req.prefix)
+        found = self._call(
+            context, self._state.list, req.prefix, req.names_only
+        )
         return wire.ListReply(objects=[_encode(*item) for item in found])
 
     def Watch(self, req, context):
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -104,10 +104,23 @@
                 raise AnswerLost('the answer was lost')
         return accepted, current
 
-    def list(self, prefix):
+    def delete(self, name, expected_version):
+        """Delete an object of the expected version; say whether it was."""
+        with self._lock:
+            self._check_up()
+            self._counts.writes += 1
+            current = self._objects.get(name)
+            accepted = current is not None and current[0] == expected_version
+            if accepted:
+                self._objects.pop(name)
+            return accepted
+
+    def list(self, prefix, names_only=False):
         """List (name, version, value) by prefix, in the names' order."""
         with self._lock:
             found = _select(self._readable(), prefix)
+            if names_only:
+                found = [(name, version, b'') for name, version, _ in found]
             self._counts.bytes_read += sum(len(item[2]) for item in found)
             return found
 
