--- a/features/proof_checkers.feature
+++ b/features/proof_checkers.feature
@@ -28,3 +28,5 @@
       | the feed doubles an event         | feed           |
       | the feed carries a foreign event  | feed           |
       | the revision falls                | revision       |
+      | a leaving target gets a hold late | drain          |
+      | a leaving target gets a feed late | drain          |
--- a/features/proof_traps.feature
+++ b/features/proof_traps.feature
@@ -34,7 +34,7 @@
   Scenario: A refused second try does not hide that the first may have run
     A connection breaks while a question runs; the entry tries it again at
     a second target, which sheds it.  The inventor must not be told that it
-    was not run.
+    was not run.  This keeps what seed 524 of the small world once showed.
     When the proof story "second try refused" is played
     Then the proof checkers have no objection
     But they object once the guard "doubt-kept" is taken out
--- a/features/proofs/checkers.py
+++ b/features/proofs/checkers.py
@@ -12,6 +12,9 @@
 from cornelgap.core.verdicts import Ran
 from features.proofs import records as rec
 
+DRAIN_S = 4.0
+"""Seconds after which a leaving target gets no new work."""
+
 ANSWER_BYTES = 48
 """Length of a short expected answer before it is repeated."""
 
@@ -148,6 +151,18 @@
     return found
 
 
+def check_drains(tape):
+    """Find leaving targets that were given work after a few seconds."""
+    left = {item.target: item.at for item in tape.pick(rec.Left)}
+    work = tape.pick(rec.Executed) + tape.pick(rec.Followed)
+    return [
+        f'{item.target} got new work {item.at - left[item.target]:.1f} s'
+        ' after it began to leave'
+        for item in work
+        if item.at > left.get(item.target, item.at) + DRAIN_S
+    ]
+
+
 CHECKERS = {
     'at most once': check_at_most_once,
     'true refusal': check_true_refusals,
@@ -157,6 +172,7 @@
     'own service': check_own_service,
     'feed': check_feeds,
     'revision': check_revisions,
+    'drain': check_drains,
 }
 
 
--- a/features/proofs/records.py
+++ b/features/proofs/records.py
@@ -67,6 +67,14 @@
     at: float = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Followed:
+    """A target began to bring a feed."""
+
+    target: str
+    at: float
+
+
 @dataclass(frozen=True, slots=True)
 class Left:
     """An operator or the platform said that a target is leaving."""
--- a/features/steps/proof_checker_steps.py
+++ b/features/steps/proof_checker_steps.py
@@ -80,6 +80,12 @@
     'the feed carries a foreign event': lambda tape: tape.note(
         hear(2, 'c2/feed')
     ),
+    'a leaving target gets a hold late': lambda tape: tape.items.extend(
+        [rec.Left('b1', 1), replace(RUN, at=9, req=REFUSED_ID)]
+    ),
+    'a leaving target gets a feed late': lambda tape: tape.items.extend(
+        [rec.Left('b1', 1), rec.Followed('b1', 9)]
+    ),
     'the revision falls': lambda tape: tape.note(rec.Adopted('e1', 2, 3)),
 }
 
