Measure tokens, bytes a flow and the speed ratio in rounds that take turns

Cause: the ratio of 300,000 flows to 3,000 came out between 0.75 and 1.88, since the two sides ran at different times on a busy machine.

--- a/bench/engine.py
+++ b/bench/engine.py
@@ -1,6 +1,6 @@
 """Speed and memory of one entry instance's flow engine, without sockets.
 
-Run: python -m bench.engine [opens] [relay] [request] [flows] [token]
+Run: python -m bench.engine [mint] [token] [memory] [opens] [relay] [request] [flows]
 Figures are medians of five rounds in one process, one thread.
 """
 
@@ -10,18 +10,21 @@
 import statistics
 import sys
 import time
+import tracemalloc
 
 from cornelgap.core import messages as msg
 from cornelgap.core.calls import CallEnded, PieceArrived, StartRun
 from cornelgap.core.control import Instance
 from cornelgap.core.settings import Cfg, KeyCfg, ServiceCfg, TargetCfg
-from cornelgap.core.token import verify_token
+from cornelgap.core.token import mint_token, verify_token
 from cornelgap.core.verdicts import Ran
 from cornelgap.decisions.ends import CallEnd
 from cornelgap.entry.engine import Engine
 from cornelgap.wire.caller_codec import decode_datagram, encode_message
 
 ROUNDS = 5
+TURNS = 25
+SAMPLE = 3000
 ADDRESS = ('127.0.0.1', 40000)
 
 
@@ -151,53 +154,92 @@
         return int(source.read().split()[1]) * os.sysconf('SC_PAGE_SIZE')
 
 
+def hold_flows(held):
+    """Hold flows that were opened at 5,000 a second.
+
+    :returns: (engine, time, 3,000 of their tokens).
+    """
+    engine = build_engines()['e1']
+    tokens = []
+    now = 1.0
+    for at in range(held):
+        now += 2e-4
+        if at % 100 == 0:
+            engine.tick(now)
+        host = f'10.{at >> 16}.{at >> 8 & 255}.{at & 255}'
+        address = (host, 1024 + at % 60000)
+        data = encode_message(msg.Open('search', 9))
+        effects = engine.handle_caller(now, data, address)
+        token = decode_datagram(effects[0].datagram).token
+        data = encode_message(msg.Cancel('search', token, 1))
+        engine.handle_caller(now, data, address)
+        if at % (held // SAMPLE) == 0:
+            tokens.append(token)
+    for _ in range(400):
+        engine.tick(now + 40)
+    return engine, now + 41, tokens
+
+
+def run_memory():
+    """Bytes for each held flow, by the allocator's own count."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    held = 60000
+    engine, _, tokens = hold_flows(held)
+    tokens.clear()
+    gc.collect()
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    print(
+        f'memory: {used / len(engine.state.flows):.0f} bytes a flow, {held} flows held'
+    )
+
+
 def run_flows():
-    """Hold 300,000 flows: bytes per flow and speed against 3,000."""
-    rates = {}
-    for held in (3000, 300000):
-        engine = build_engines()['e1']
+    """Speed at 300,000 flows against 3,000, in rounds that take turns."""
+    sides = {}
+    for held in (SAMPLE, 300000):
         gc.collect()
         before = read_rss()
-        tokens = []
-        now = 1.0
-        for at in range(held):
-            # Opened at 5,000 a second, as callers would; ended requests are
-            # dropped after their time while others come.
-            now += 2e-4
-            if at % 100 == 0:
-                engine.tick(now)
-            host = f'10.{at >> 16}.{at >> 8 & 255}.{at & 255}'
-            address = (host, 1024 + at % 60000)
-            data = encode_message(msg.Open('search', 9))
-            effects = engine.handle_caller(now, data, address)
-            token = decode_datagram(effects[0].datagram).token
-            data = encode_message(msg.Cancel('search', token, 1))
-            engine.handle_caller(now, data, address)
-            if at % (held // 3000) == 0:
-                tokens.append(token)
-        for _ in range(400):
-            engine.tick(now + 40)
+        engine, now, tokens = hold_flows(held)
         gc.collect()
-        used = read_rss() - before
-        print(
-            f'held {held}: {used / held:.0f} bytes a flow (resident), flows {len(engine.state.flows)}'
-        )
+        used = (read_rss() - before) / held
+        print(f'held {held}: {used:.0f} bytes a flow resident')
         datagrams = [
             encode_message(msg.OutcomeQuery('search', it, 2)) for it in tokens
         ]
+        sides[held] = (engine, now, datagrams)
+    gc.freeze()
+    times = {held: [] for held in sides}
+    for _ in range(TURNS):
+        for held, (engine, now, datagrams) in sides.items():
+            started = time.perf_counter()
+            for data in datagrams:
+                engine.handle_caller(now, data, ADDRESS)
+            times[held].append(time.perf_counter() - started)
+    few, many = (statistics.median(taken) for taken in times.values())
+    print(
+        f'outcome query: {few / SAMPLE * 1e6:.1f} us at 3,000 flows, {many / SAMPLE * 1e6:.1f} us at 300,000: ratio {many / few:.2f}'
+    )
+
+
+def run_mint():
+    """Mint a token."""
+    engine = build_engines()['e1']
+    token = verify_token(engine.state.cfg.keys, open_flow(engine).token)
+    key = engine.state.cfg.keys[1]
 
-        def work(count):
-            for at in range(count):
-                engine.handle_caller(
-                    41.0, datagrams[at % len(datagrams)], ADDRESS
-                )
+    def work(count):
+        for _ in range(count):
+            mint_token(key, token)
 
-        rates[held] = measure(f'outcome queries at {held} flows', 20000, work)
-    print(f'slowdown {rates[3000] / rates[300000]:.2f}')
+    return measure('token mint', 50000, work)
 
 
 _RUNS = {
+    'mint': run_mint,
     'token': run_token,
+    'memory': run_memory,
     'opens': run_opens,
     'relay': run_relay,
     'request': run_request,
