Do harm to real processes under load, judged by callers and targets

With the platform frozen a new entry had no configuration until its settings named peers; that is what the seeds are for.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -93,7 +93,7 @@
     with contextlib.ExitStack() as stack:
         deployment.start(stack, FAULTS)
         loads = plan_loads(plan, flows, seconds, names)
-        procs = [_start_load(stack, deployment, load, folder) for load in loads]
+        procs = [start_load(stack, deployment, load, folder) for load in loads]
         if stop_one:
             time.sleep(seconds / 2)
             name = next(iter(deployment.entries))
@@ -121,7 +121,8 @@
     return findings, summaries
 
 
-def _start_load(stack, deployment, load, folder):
+def start_load(stack, deployment, load, folder):
+    """Start the callers of one service as a process."""
     args = ['cornelgap.call.main', 'load', '--service', load.service]
     args += ['--flows', str(load.flows), '--to', deployment.address]
     args += ['--record', str(folder / f'{load.service}.jsonl'), *load.options]
--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -71,6 +71,8 @@
     files: Path
     entries: dict = field(default_factory=dict)
     targets: dict = field(default_factory=dict)
+    planned: set = field(default_factory=set)
+    kept_dumps: dict = field(default_factory=dict)
     platform: Proc | None = None
     fabric: Proc | None = None
 
@@ -119,14 +121,30 @@
         for service in self.plan.services:
             for index in range(service.targets):
                 name = f'{service.name}-{index + 1}'
-                args = ['standins.target', '--name', name]
-                args += ['--service', service.name]
-                args += ['--slots', str(service.slots)]
-                args += ['--queue-limit', str(queue_limit)]
-                if service.serves_files:
-                    args += ['--folder', str(self.files)]
-                proc = self._start_proc(stack, name, args)
-                self.targets[name] = (service, proc)
+                self.planned.add(name)
+                self.start_target(stack, service, name, queue_limit)
+
+    def is_planned(self, name):
+        """Say whether a target was there from the start."""
+        return name in self.planned
+
+    def start_target(self, stack, service, name, queue_limit=4):
+        """Start one target; the configuration does not name it yet."""
+        args = ['standins.target', '--name', name]
+        args += ['--service', service.name]
+        args += ['--slots', str(service.slots)]
+        args += ['--queue-limit', str(queue_limit)]
+        if service.serves_files:
+            args += ['--folder', str(self.files)]
+        proc = self._start_proc(stack, name, args)
+        self.targets[name] = (service, proc)
+        return proc
+
+    def keep_dump(self, name):
+        """Keep what ran at a target that is about to end."""
+        service, proc = self.targets.pop(name)
+        dump = dump_target(name, service.name, proc)
+        self.kept_dumps[name] = (service.name, dump)
 
     def _write_cfg(self):
         lines = []
@@ -147,26 +165,49 @@
 
     def _start_entries(self, stack):
         for index in range(self.plan.entries):
-            name = f'{self.plan.name}-entry-{index + 1}'
-            settings = self.folder / f'{name}.ini'
-            settings.write_text(
-                '\n'.join(
-                    [
-                        '[instance]',
-                        f'name = {name}',
-                        f'zone = {self.get_zone(index)}',
-                        'public = 127.0.0.1:0',
-                        'private = 127.0.0.1:0',
-                        'api = 127.0.0.1:0',
-                        f'platform = {self.platform.greeting["address"]}',
-                        '[tls]',
-                        'mode = off',
-                        '',
-                    ]
-                )
+            self._start_entry(stack, index)
+
+    def start_entry(self, stack, index):
+        """Start one more entry and wait until it serves.
+
+        :returns: its name.
+        """
+        name = self._start_entry(stack, index)
+        public = self.entries[name].greeting['public']
+        open_flow(public, self.plan.services[0].name, name)
+        return name
+
+    def _start_entry(self, stack, index):
+        name = f'{self.plan.name}-entry-{index + 1}'
+        settings = self.folder / f'{name}.ini'
+        settings.write_text(
+            '\n'.join(
+                [
+                    '[instance]',
+                    f'name = {name}',
+                    f'zone = {self.get_zone(index)}',
+                    'public = 127.0.0.1:0',
+                    'private = 127.0.0.1:0',
+                    'api = 127.0.0.1:0',
+                    f'platform = {self.platform.greeting["address"]}',
+                    '[tls]',
+                    'mode = off',
+                    '[seeds]',
+                    *self._list_seeds(),
+                    '',
+                ]
             )
-            args = ['cornelgap.entry.main', '--settings', str(settings)]
-            self.entries[name] = self._start_proc(stack, name, args)
+        )
+        args = ['cornelgap.entry.main', '--settings', str(settings)]
+        self.entries[name] = self._start_proc(stack, name, args)
+        return name
+
+    def _list_seeds(self):
+        """List peers from which a cold start may take a configuration."""
+        return [
+            f'{name} = {proc.greeting["api"]}'
+            for name, proc in list(self.entries.items())[-3:]
+        ]
 
     def _apply_cfg(self):
         cfg, findings, _ = load_folder(self.folder / 'cfg')
@@ -188,10 +229,11 @@
 
     def dump_targets(self):
         """Ask each target what ran, by its name."""
-        return {
+        dumps = {
             name: (service.name, dump_target(name, service.name, proc))
             for name, (service, proc) in self.targets.items()
         }
+        return dumps | self.kept_dumps
 
 
 def open_flow(address, service, name):
