Read instance lists within a byte budget, check every settings section

Cause: measured with 12 instances, control took 2.4 KB/s each, of which two lists at 500 B/s were the part that grows; at the design size 3.1 KB/s were to be expected against a budget of 3. Each list now has 250 B/s, and an early reading for an unknown peer twenty times that while it is wanted, instead of one every two seconds. Misspelt sections were left out silently: [admn] let everybody with a certificate stop the instance. The time between registrations is a setting, because the platform's expiry is the platform's.

--- a/bench/control.py
+++ b/bench/control.py
@@ -16,8 +16,10 @@
 import contextlib
 import json
 import re
+import signal
 import statistics
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -273,6 +275,8 @@
     force.add_argument('--entries', type=int, default=6)
     force.add_argument('--down-s', type=float, default=0)
     args = parser.parse_args()
+    # Told to end, it must end the processes that it started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     if args.command == 'idle':
         for size in args.sizes:
             print(json.dumps(run_idle(size)), flush=True)
--- a/cornelgap/decisions/polling.py
+++ b/cornelgap/decisions/polling.py
@@ -14,10 +14,14 @@
 LIST_S = 2.0
 """Least seconds between two readings of a list."""
 
-LIST_BYTES_PER_S = 500
-"""What reading one of the two lists may take, in bytes a second."""
+LIST_BYTES_PER_S = 250
+"""What reading one of the two lists may take, in bytes a second: half a
+kilobyte of the three that control may use."""
 
-MOST_S = 600.0
+EARLY_FACTOR = 20
+"""How much more an early reading may take, for as long as it is wanted."""
+
+MOST_S = 1200.0
 BACKOFF_MOST_S = 8.0
 JITTER = 0.2
 
@@ -35,6 +39,7 @@
         self._least_s = least_s
         self._budget = budget
         self._fails = 0
+        self._early_s = least_s
         self._running = False
         self._ended_at = float('-inf')
         self._due_at = float('-inf')
@@ -47,8 +52,8 @@
         return True
 
     def hasten(self, now):
-        """Make the call due early, yet not sooner than its least wait."""
-        early = max(now, self._ended_at + self._least_s)
+        """Make the call due early, yet not so early that it floods."""
+        early = max(now, self._ended_at + self._early_s)
         self._due_at = min(self._due_at, early)
 
     def note_done(self, now, size=0):
@@ -59,6 +64,7 @@
         wait = self._least_s
         if self._budget:
             wait = min(MOST_S, max(wait, size / self._budget))
+            self._early_s = max(self._least_s, wait / EARLY_FACTOR)
         self._fails = 0
         self._end(now, wait)
 
--- a/cornelgap/entry/instances.py
+++ b/cornelgap/entry/instances.py
@@ -57,9 +57,11 @@
     :param own: :class:`cornelgap.core.control.Instance` of this process.
     :param store: :class:`cornelgap.cfg.store.PlatformStore`.
     :param packet: reference to the packet actor.
+    :param register_s: seconds between two registrations; a third of the
+        time after which the platform takes a silent instance off its list.
     """
 
-    def __init__(self, scope, own, store, packet, loops, rng=None):
+    def __init__(self, scope, own, store, packet, loops, register_s=REGISTER_S):
         """Prepare; nothing is asked before the first tick."""
         super().__init__(scope, INSTANCES)
         self._own = own
@@ -71,9 +73,9 @@
         self._leaving_targets = frozenset()
         self._stop_tick = None
         self._caller = ThreadPoolExecutor(1, thread_name_prefix=INSTANCES)
-        rng = rng or random.Random(own.name)
+        rng = random.Random(own.name)
         self._polls = {
-            'register': Poll(rng, REGISTER_S),
+            'register': Poll(rng, register_s),
             ENTRY_ROLE: Poll(rng, LIST_S, LIST_BYTES_PER_S),
             TARGET_ROLE: Poll(rng, LIST_S, LIST_BYTES_PER_S),
         }
--- a/cornelgap/entry/node.py
+++ b/cornelgap/entry/node.py
@@ -181,7 +181,12 @@
         )
         self._refs.append(
             InstancesActor.start(
-                settings.name, own, self._store, packets, self._loops
+                settings.name,
+                own,
+                self._store,
+                packets,
+                self._loops,
+                settings.register_s,
             )
         )
         seeds = settings.sections.get('seeds', {}).values()
--- a/cornelgap/entry/settings.py
+++ b/cornelgap/entry/settings.py
@@ -13,6 +13,17 @@
 
 SECTION = 'instance'
 
+# Other sections and their options; None where the part that reads the
+# section checks them itself.
+OTHER_SECTIONS = {
+    'tls': None,
+    'platform_tls': None,
+    'target_tls': None,
+    'logs': None,
+    'seeds': None,
+    'admin': ('operators',),
+}
+
 
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra='allow', frozen=True)
@@ -25,6 +36,7 @@
     admin: str = '127.0.0.1:0'
     metrics: str = ''
     platform: str
+    register_s: float = pydantic.Field(default=2.0, ge=0.5, le=600)
 
     @pydantic.field_validator('public', 'private', 'api', 'platform', 'admin')
     @classmethod
@@ -46,6 +58,7 @@
     :param admin: ``host:port`` of the administration API.
     :param metrics: ``host:port`` for metrics and health, empty for none.
     :param platform: ``host:port`` of the platform's object service.
+    :param register_s: seconds between two registrations with the platform.
     :param sections: all other sections, option by name, for the parts that
         check their own (``tls``, ``logs``).
     """
@@ -59,6 +72,7 @@
     metrics: str
     platform: str
     sections: dict
+    register_s: float = 2.0
 
 
 def load_settings(path):
@@ -78,7 +92,38 @@
     if not parser.has_section(SECTION):
         text = f'section [{SECTION}] is missing'
         return None, [CodedError(Code.CFG_MISSING_OPTION, text, str(path))]
-    return _check_options(path, parser)
+    loaded, errors = _check_options(path, parser)
+    errors += _check_sections(path, parser)
+    return (None if errors else loaded), errors
+
+
+def _check_sections(path, parser):
+    # A misspelt section would be left out silently: with [admn] instead of
+    # [admin], everybody with a certificate could stop the instance.
+    errors = []
+    for name in parser.sections():
+        if name != SECTION and name not in OTHER_SECTIONS:
+            known = ', '.join([SECTION, *OTHER_SECTIONS])
+            errors.append(
+                CodedError(
+                    Code.CFG_UNKNOWN_SECTION,
+                    f'known are {known}',
+                    f'{path} [{name}]',
+                )
+            )
+        options = OTHER_SECTIONS.get(name)
+        if options is None:
+            continue
+        errors += [
+            CodedError(
+                Code.CFG_UNKNOWN_OPTION,
+                f'known are {", ".join(options)}',
+                f'{path} [{name}] {option}',
+            )
+            for option in parser[name]
+            if option not in options
+        ]
+    return errors
 
 
 def _check_options(path, parser):
--- a/features/entry_admin.feature
+++ b/features/entry_admin.feature
@@ -55,3 +55,14 @@
     Then the platform lists the administered entry with its addresses
     When the administered entry is stopped
     Then the platform does not list the administered entry
+
+  Scenario: A misspelt section or option of an instance's settings is an error
+    An operator writes [admn] and believes that only two people may stop the
+    instance, while everybody with a certificate of the fleet may.
+
+    Given a settings file of an administered entry with "[admn]\noperators = a\n[admin]\noperator = b"
+    Then loading the administered entry's settings gives "CFG-002,CFG-003"
+
+  Scenario: Settings of an instance load with all their sections
+    Given a settings file of an administered entry with "[admin]\noperators = a\n[logs]\nlinks = debug\n[seeds]\na = 127.0.0.1:9"
+    Then loading the administered entry's settings gives ""
--- a/features/steps/entry_admin_steps.py
+++ b/features/steps/entry_admin_steps.py
@@ -1,5 +1,6 @@
 """Steps about the administration of one entry instance in this process."""
 
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -12,7 +13,7 @@
 from cornelgap.cfg.store import PlatformStore
 from cornelgap.core.settings import Cfg, KeyCfg, ServiceCfg, TargetCfg
 from cornelgap.entry.node import EntryNode
-from cornelgap.entry.settings import Settings
+from cornelgap.entry.settings import Settings, load_settings
 from cornelgap.entry.trust import load_trust
 from cornelgap.kernel.metrics import METRICS, GetPort
 from cornelgap.kernel.names import get_service
@@ -259,3 +260,29 @@
 @then('the platform does not list the administered entry')
 def check_unlisted(context):
     assert context.node.settings.name not in list_names(context)
+
+
+@given('a settings file of an administered entry with "{text}"')
+def write_settings(context, text):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.settings_path = Path(folder.name) / 'e1.ini'
+    lines = ['[instance]', 'name = e1', 'zone = z1']
+    for option in ('public', 'private', 'api', 'platform'):
+        lines.append(f'{option} = 127.0.0.1:0')
+    lines += ['[tls]', 'mode = off', *text.split('\\n')]
+    context.settings_path.write_text('\n'.join(lines))
+
+
+@then('loading the administered entry\'s settings gives ""')
+def check_settings_good(context):
+    loaded, errors = load_settings(context.settings_path)
+    assert not errors, errors
+    assert loaded.sections['admin'] == {'operators': 'a'}
+
+
+@then('loading the administered entry\'s settings gives "{codes}"')
+def check_settings_bad(context, codes):
+    loaded, errors = load_settings(context.settings_path)
+    assert loaded is None
+    assert [str(error.code) for error in errors] == codes.split(',')
