Notice a target that was cut off without a word

Cause: a feed only listens, so when a zone is cut off nothing ever ended its call and its caller would have waited for events for ever. Links now ping every 10 s while a call is open and give up a ping after 5 s.

Found on the way: the library's keepalive timeout alone does not end a connection, its ping timeout stays at 60 s unless set as well; and of two options of one name it takes the first.

--- a/cornelgap/entry/channels.py
+++ b/cornelgap/entry/channels.py
@@ -36,6 +36,16 @@
     # hundreds of slow callers that fills the memory of a small instance.
     ('grpc.http2.bdp_probe', 0),
     ('grpc.http2.lookahead_bytes', READ_AHEAD_BYTES),
+    # A target that is cut off sends nothing more, not even a reset.  A feed
+    # only listens, so without a ping its caller would wait for events for
+    # ever while its target is long gone.  docs/TARGETS.md asks targets to
+    # permit these pings.
+    ('grpc.keepalive_time_ms', 10000),
+    ('grpc.keepalive_timeout_ms', 5000),
+    # The library waits a minute for the answer to a ping unless told here
+    # as well; the timeout above alone does not end a connection.
+    ('grpc.http2.ping_timeout_ms', 5000),
+    ('grpc.http2.max_pings_without_data', 0),
 )
 
 
@@ -53,7 +63,8 @@
     @classmethod
     def from_address(cls, address, credentials=None, options=()):
         """Open a channel to ``host:port``, with TLS if credentials are set."""
-        options = [*CHANNEL_OPTIONS, *options]
+        # Of two options of the same name the library takes the first.
+        options = list((dict(CHANNEL_OPTIONS) | dict(options)).items())
         if credentials is None:
             return cls(address, aio.insecure_channel(address, options))
         return cls(address, aio.secure_channel(address, credentials, options))
--- a/features/links.feature
+++ b/features/links.feature
@@ -151,3 +151,11 @@
     When the links follow a feed from position 7
     Then the links end the call as ok, DONE, code ""
     And the scripted target saw the position 7
+
+  Scenario: A feed whose target was cut off without a word ends
+    A zone is cut off. The target's side of a feed is gone and sends not
+    even a reset; the inventor would wait for events for ever.
+
+    Given links with a fast heartbeat to a bare server that falls silent
+    When the links follow a feed from position 0
+    Then the links end the call as failed, MAY_HAVE_RUN, code "REQ-005"
--- a/features/steps/links_steps.py
+++ b/features/steps/links_steps.py
@@ -123,13 +123,14 @@
     return answer
 
 
-def start_links(context, address):
+def start_links(context, address, options=()):
     context.collector = Collector()
     context.clocks = Clocks()
     context.loops = LoopThread.start_new('links-test')
     context.links = TargetLinks.from_settings(
         context.loops,
         context.collector.report,
+        options=options,
         now=context.clocks.now,
         wall=context.clocks.wall,
     )
@@ -326,15 +327,26 @@
     start_bare(context, disowns=True)
 
 
+@given('links with a fast heartbeat to a bare server that falls silent')
+def serve_cut(context):
+    beat = (
+        ('grpc.keepalive_time_ms', 50),
+        ('grpc.keepalive_timeout_ms', 50),
+        ('grpc.http2.ping_timeout_ms', 50),
+    )
+    start_bare(context, disowns=False, options=beat)
+
+
 @given('links to a bare server that never answers')
 def serve_silent(context):
     start_bare(context, disowns=False)
 
 
-def start_bare(context, disowns):
+def start_bare(context, disowns, options=()):
     context.bare = BareServer(disowns)
     context.cleanups.append(context.bare.sock.close)
-    start_links(context, '127.0.0.1:%d' % context.bare.sock.getsockname()[1])
+    port = context.bare.sock.getsockname()[1]
+    start_links(context, f'127.0.0.1:{port}', options)
 
 
 @given("the links' clock jumps past the deadline while they connect")
--- a/standins/target.py
+++ b/standins/target.py
@@ -33,6 +33,13 @@
 RETRY_AFTER_KEY = 'cornelgap-retry-after-ms'
 PIECE_BYTES = 16 * 1024
 DRAIN_POLL_S = 0.02
+SERVER_OPTIONS = (
+    ('grpc.so_reuseport', 0),
+    # Entry instances ping while a call is open, see docs/TARGETS.md.  The
+    # library's server takes that for abuse unless told otherwise, and cuts
+    # quiet feeds.
+    ('grpc.http2.min_ping_interval_without_data_ms', 5000),
+)
 
 
 @cyclopts.Parameter(name='*')
@@ -348,7 +355,7 @@
         :raises OSError: if the address cannot be bound.
         """
         servicer = TargetServicer(options)
-        server = grpc.aio.server(options=(('grpc.so_reuseport', 0),))
+        server = grpc.aio.server(options=SERVER_OPTIONS)
         target_pb2_grpc.add_TargetServicer_to_server(servicer, server)
         health_pb2_grpc.add_HealthServicer_to_server(servicer.health, server)
         port = server.add_insecure_port(options.listen)
