--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -17,6 +17,7 @@
 import random
 import statistics
 import time
+import tracemalloc
 
 import numpy as np
 
@@ -198,14 +199,14 @@
 
 
 def slope_service_bytes():
-    """Resident bytes by services in force, configuration included."""
+    """Allocated bytes by services in force, configuration included."""
     points = []
     for count in SERVICES:
         gc.collect()
-        before = read_rss()
+        tracemalloc.start()
         engine = build_service_engine(count)
-        gc.collect()
-        points.append((count, read_rss() - before))
+        points.append((count, tracemalloc.get_traced_memory()[0]))
+        tracemalloc.stop()
         del engine
     return points
 
