--- a/bench/control.py
+++ b/bench/control.py
@@ -23,6 +23,7 @@
 import tempfile
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import grpc
@@ -43,6 +44,7 @@
 UDP_HEAD = 28
 TCP_HEAD = 52
 TIMEOUT_S = 90
+STARTERS = 8
 
 
 class Fleet:
@@ -59,7 +61,8 @@
         channel = stack.enter_context(grpc.insecure_channel(self.address))
         self.control = ControlStub(channel)
         self.revision = 0
-        self.entries = [self._start_entry(index) for index in range(size)]
+        with ThreadPoolExecutor(STARTERS) as starters:
+            self.entries = list(starters.map(self._start_entry, range(size)))
         self.stubs = [
             AdminStub(
                 stack.enter_context(
