--- a/bench/control.py
+++ b/bench/control.py
@@ -194,7 +194,7 @@
 
 
 def run_idle(size):
-    """Measure one fleet without callers."""
+    """Measure one fleet without callers and print the figures."""
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         fleet = Fleet(stack, folder, size)
@@ -215,7 +215,9 @@
             [(b[at] - a[at]) / passed for a, b in zip(before, after)]
             for at in (0, 2, 3)
         )
-        return {
+        # Printed before the processes are ended: each one's planned stop
+        # takes some seconds.
+        result = {
             'entries': size,
             'seconds': round(passed, 1),
             'cpu_percent_mean': round(100 * statistics.mean(cpu), 3),
@@ -236,6 +238,7 @@
                 (later.watches - calls.watches) / passed, 2
             ),
         }
+        print(json.dumps(result), flush=True)
 
 
 def run_force(changes, size, down_s):
@@ -282,7 +285,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     if args.command == 'idle':
         for size in args.sizes:
-            print(json.dumps(run_idle(size)), flush=True)
+            run_idle(size)
     else:
         result = run_force(args.changes, args.entries, args.down_s)
         print(json.dumps(result), flush=True)
