--- a/cornelgap/cfg/document.py
+++ b/cornelgap/cfg/document.py
@@ -21,8 +21,8 @@
 """Longest value that the platform takes, in bytes."""
 
 _DIGEST_BYTES = 16
-# About 200 bytes a service and its targets: parts of some 12 KB, so that a
-# change writes little and 2,300 services make 64 parts, 1 KB in the root.
+# About 150 bytes a service with two targets (bench.cfg_size): parts of 5 to
+# 10 KB, so that a change writes little, and 2,300 services make 64 parts.
 _SERVICES_A_PART = 64
 
 
--- a/cornelgap/cfg/publishing.py
+++ b/cornelgap/cfg/publishing.py
@@ -30,6 +30,7 @@
     'publish',
     'read_current',
     'read_root',
+    'settle_earlier',
 )
 
 
@@ -134,6 +135,27 @@
     return _write_root(store, attempt, new.write_id, pause)
 
 
+def settle_earlier(store, base_revision, write_id):
+    """Say how an earlier try ended, without writing anything.
+
+    For a change whose base is not in force: it was accepted earlier, or it
+    has lost the race.
+
+    :param store: the platform's store.
+    :param base_revision: revision that the change was made from.
+    :param write_id: id of the earlier try.
+    :return: a :class:`PublishResult`.
+    """
+    try:
+        _, root = read_root(store)
+        done = _find_own(store, root, write_id)
+        if done is not None:
+            return PublishResult(True, '', done.revision, write_id)
+        return _refuse_stale_base(store, root, base_revision, write_id)
+    except CodedError as exc:
+        return PublishResult(False, exc.code, write_id=write_id, text=exc.text)
+
+
 def _prepare(store, cfg, new, base, version):
     """Build the next root and what it names, or None if nothing changes."""
     old, _, findings = read_base(store, base)
--- a/cornelgap/operators/changing.py
+++ b/cornelgap/operators/changing.py
@@ -57,19 +57,20 @@
         base = plan.base.revision
         if base_revision is not None:
             base = base_revision(base)
-        if base == plan.base.revision and not _show_plan(plan):
+        write_id = options.write_id or uuid.uuid4().hex
+        if base != plan.base.revision:
+            # The plan was made on another revision than the one stated, so
+            # it must not be written even if that one comes in force now.
+            result = publishing.settle_earlier(store, base, write_id)
+        elif not _show_plan(plan):
             return None, Exit.UNSAFE
-        if options.dry_run:
+        elif options.dry_run:
             print(f'dry run: nothing written, base is revision {base}')
             return None, Exit.DONE
-        result = publishing.publish(
-            store,
-            plan.cfg,
-            reach.author,
-            options.message,
-            options.write_id or uuid.uuid4().hex,
-            base,
-        )
+        else:
+            result = publishing.publish(
+                store, plan.cfg, reach.author, options.message, write_id, base
+            )
         _show_result(store, result, base)
         if not result.accepted:
             return result, choose_exit(result.code)
--- a/cornelgap/operators/key_commands.py
+++ b/cornelgap/operators/key_commands.py
@@ -42,8 +42,7 @@
 
     def make_plan(store):
         base = applying.load_base(store)
-        cfg, key_id = staging.add_key(base, secrets.token_bytes(_SECRET_BYTES))
-        print(f'key {key_id}')
+        cfg, _ = staging.add_key(base, secrets.token_bytes(_SECRET_BYTES))
         return applying.plan_change(base, cfg)
 
     return change_in_force(connection, options, make_plan)[1]
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -66,6 +66,16 @@
     And it prints "huda"
     And the cfg platform has revision 3
 
+  Scenario: A change is not written on a base that it was not planned on
+    The operator states a revision that comes in force a moment later. What
+    was checked is then something else than what would be written.
+
+    When operator "omar" runs "apply DIR -m early --base 3"
+    Then the command exits with 6 and prints "PLT-003"
+    When operator "omar" runs "drain target s1 -m disk"
+    And an operator settles an unknown write on cfg revision 3
+    Then the cfg publication is refused with "OPS-001"
+
   Scenario: A copy of the folder that was never applied must name its base
     Given the cfg operator folder forgets its base
     When the cfg operator folder gets "20-local.ini" with "[service search]~token_s = 300"
--- a/features/steps/cfg_operators_steps.py
+++ b/features/steps/cfg_operators_steps.py
@@ -12,7 +12,7 @@
 import grpc
 from behave import given, then, when
 
-from cornelgap.cfg import document, staging
+from cornelgap.cfg import document, publishing, staging
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import Cfg, KeyCfg, KeyStage, ServiceCfg
 from cornelgap.operators.fleet import InstanceStatus, wait_in_force
@@ -190,6 +190,11 @@
     assert document.read_root(value)[0].revision == revision
 
 
+@when('an operator settles an unknown write on cfg revision {base:d}')
+def settle(context, base):
+    context.result = publishing.settle_earlier(context.store, base, 'unknown')
+
+
 @given('cfg entry "{name}" stays at revision {revision:d}')
 def stick_entry(context, name, revision):
     context.entries[name].stuck = revision
