--- a/cornelgap/core/meanings.py
+++ b/cornelgap/core/meanings.py
@@ -57,6 +57,8 @@
     'come back after the stated time.',
     Code.REQ_MOVING: 'The flow is being handed to another entry; send the '
     'same datagram again.',
+    Code.REQ_OVERLOADED: 'The entry gets more than it can handle and refused '
+    'the datagram before any work; come back after the stated time.',
     Code.CFG_SYNTAX: 'A line of the folder is no section, option or comment.',
     Code.CFG_UNKNOWN_SECTION: 'The folder has a section of a kind that does '
     'not exist.',
--- a/features/steps/cfg_docs_steps.py
+++ b/features/steps/cfg_docs_steps.py
@@ -10,6 +10,8 @@
 from behave import then, when
 
 from bench import errors_page
+from cornelgap.core.errors import Code
+from cornelgap.core.meanings import MEANINGS
 from cornelgap.operators.exits import Exit
 from features.steps.cfg_operators_steps import run
 
@@ -61,6 +63,8 @@
 
 @then('the page "{page}" is the one that the error catalogue gives')
 def check_page(context, page):
+    missing = [code.name for code in Code if code not in MEANINGS]
+    assert not missing, f'cornelgap/core/meanings.py lacks {missing}'
     assert errors_page.PAGE.name == page
     assert errors_page.PAGE.read_text() == errors_page.build_page()
 
