--- a/cornelgap/call/pending.py
+++ b/cornelgap/call/pending.py
@@ -7,14 +7,19 @@
 from cornelgap.core import messages as msg
 
 ACK_CHUNKS = 8
-"""Chunks after which an ACK goes out at once, a quarter of the credit, so
+"""Chunks after which an ACK goes out at once, a small part of the credit, so
 that the home never waits for credit on a path without loss."""
 
 QUERY_S = 0.5
 """Between two questions about a request that the home knows."""
 
-STALL_S = 0.06
-"""Silence inside an answer after which missing chunks count as lost."""
+GAP_S = 0.015
+"""Silence after which a known gap is named again, about two round trips of
+the farthest caller; the home has sent the chunk again within one."""
+
+STALL_S = 0.045
+"""Silence inside an answer after which missing chunks count as lost: a bit
+more than the 40 ms within which a home sends no chunk a second time."""
 
 
 @dataclass(slots=True)
@@ -49,7 +54,8 @@
         """Build what is due now and set the next time."""
         if self.is_streaming():
             self.stalls += 1
-            delay = min(STALL_S * 2 ** min(self.stalls, 4), QUERY_S)
+            delay = self._pick_stall() * 2 ** min(self.stalls - 1, 5)
+            delay = min(delay, QUERY_S)
             self.due = now + pick_delay(rng, delay)
             return self.build_ack(service, token, silent=True)
         if self.known:
@@ -94,9 +100,12 @@
             return False
         self.stalls = 0
         self.unacked += 1
-        self.due = now + STALL_S
+        self.due = now + self._pick_stall()
         return self.answer.is_whole() or self.unacked >= ACK_CHUNKS
 
+    def _pick_stall(self):
+        return GAP_S if self.answer.has_gap() else STALL_S
+
     def note_progress(self, now, retry_after_ms):
         """Note that the home knows the request."""
         self.known = True
--- a/cornelgap/operators/fleet.py
+++ b/cornelgap/operators/fleet.py
@@ -81,16 +81,19 @@
 
         :param instance: wire ``Instance``.
         :param who: who asks, for the instance's log.
-        :return: empty if it has accepted, otherwise why not.
+        :raises CodedError: ``OPS_FORBIDDEN`` if this caller may not, or
+            ``OPS_NOT_IN_FORCE`` if it does not answer.
         """
         req = admin_pb2.DrainRequest(who=who)
         try:
-            reply = self._open_stub(instance).Drain(
-                req, timeout=self._timeout_s
-            )
+            self._open_stub(instance).Drain(req, timeout=self._timeout_s)
         except grpc.RpcError as exc:
-            return _phrase_silence(exc)
-        return '' if reply.accepted else 'refused'
+            code = Code.OPS_NOT_IN_FORCE
+            if exc.code() is grpc.StatusCode.PERMISSION_DENIED:
+                code = Code.OPS_FORBIDDEN
+            raise CodedError(
+                code, f'no planned stop: {_phrase_silence(exc)}', instance.name
+            ) from exc
 
     def _open_stub(self, instance):
         address = instance.admin or instance.api
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -144,6 +144,17 @@
     When operator "amal" runs "drain instance e9 -m disk"
     Then the command exits with 1 and prints "OPS-006"
 
+  Scenario: An instance that does not stop is not called drained
+    The change is accepted, yet the entry takes no order from this operator.
+    Whoever reads "drained" replaces the instance with flows on it.
+
+    Given cfg entry "e1" obeys other operators
+    When operator "amal" runs "drain instance e1 -m kernel"
+    Then the command exits with 1 and prints "OPS-007"
+    Given cfg entry "e2" is dead
+    When operator "amal" runs "drain instance e2 -m kernel --wait-s 0"
+    Then the command exits with 4 and prints "no planned stop"
+
   Scenario: A key is published, signs when known everywhere, and retires late
     An entry that does not know a key yet takes every token signed with it
     for a forgery; a key that goes early makes valid tokens look forged.
--- a/features/steps/cfg_operators_steps.py
+++ b/features/steps/cfg_operators_steps.py
@@ -55,6 +55,7 @@
         self.name = name
         self.state = state
         self.stuck = None
+        self.strict = False
         self.targets = []
         self.server = grpc.server(ThreadPoolExecutor(2))
         admin_pb2_grpc.add_AdminServicer_to_server(self, self.server)
@@ -75,6 +76,8 @@
         )
 
     def Drain(self, req, context):
+        if self.strict:
+            context.abort(grpc.StatusCode.PERMISSION_DENIED, 'OPS-007')
         return admin_pb2.DrainReply(accepted=True)
 
 
@@ -195,6 +198,11 @@
     context.result = publishing.settle_earlier(context.store, base, 'unknown')
 
 
+@given('cfg entry "{name}" obeys other operators')
+def obey_others(context, name):
+    context.entries[name].strict = True
+
+
 @given('cfg entry "{name}" stays at revision {revision:d}')
 def stick_entry(context, name, revision):
     context.entries[name].stuck = revision
