Refuse another address for a target in use

Wrong: changing the address of an active target in the folder passed all checks, although another process answers there that knows none of the target's feeds: they would break as if the target had been removed. It now drains first, and goes on elsewhere when no entry uses it. Missing: the case of a base that comes in force between planning and writing had its guard but no scenario that fails without it; it has one now. The operations page shows an entry's settings, and a scenario loads them.

--- a/cornelgap/cfg/comparison.py
+++ b/cornelgap/cfg/comparison.py
@@ -41,11 +41,22 @@
     return f'fingerprint:{name.hexdigest()}'
 
 
-def list_targets(cfg):
-    """List the names of all targets of a configuration, as a set."""
-    return {
-        name for service in cfg.services.values() for name in service.targets
-    }
+def list_gone(old, new):
+    """List the names of targets that go, or go on at another address.
+
+    :param old: Cfg in force.
+    :param new: Cfg that is to follow it.
+    """
+    places = dict(_list_places(new))
+    return {name for place, name in _list_places(old) if place not in places}
+
+
+def _list_places(cfg):
+    return [
+        ((service.name, target.name, target.address), target.name)
+        for service in cfg.services.values()
+        for target in service.targets.values()
+    ]
 
 
 def list_changes(old, new):
@@ -109,6 +120,7 @@
     """
     return [
         *_find_lost_targets(old, new),
+        *_find_replaced_targets(old, new),
         *_find_moved_addresses(old, new, _target_addresses, 'target'),
         *_find_moved_addresses(old, new, _service_addresses, 'service'),
         *_find_key_jumps(old, new),
@@ -159,6 +171,28 @@
     return findings
 
 
+def _find_replaced_targets(old, new):
+    """Refuse another address for a target that was not draining.
+
+    Another process answers there, which knows none of the target's feeds;
+    they would break as if the target had been removed.
+    """
+    return [
+        _refuse(
+            f'target {name}',
+            'address',
+            'the address changes without draining',
+            'mode = draining in a change before this one',
+        )
+        for service in old.services.values()
+        if service.name in new.services
+        for name, target in service.targets.items()
+        if target.mode is not TargetMode.DRAINING
+        and name in new.services[service.name].targets
+        and new.services[service.name].targets[name].address != target.address
+    ]
+
+
 def _target_addresses(cfg):
     return {
         target.address: (service.name, target.name)
--- a/cornelgap/cfg/findings.py
+++ b/cornelgap/cfg/findings.py
@@ -7,6 +7,10 @@
 import difflib
 from dataclasses import dataclass
 
+# Searching a near name costs time in the number of names, so that a folder
+# with thousands of faults would take minutes to check.
+MAX_NEAREST = 50
+
 
 @dataclass(frozen=True, slots=True)
 class CfgFinding:
--- a/cornelgap/cfg/folder.py
+++ b/cornelgap/cfg/folder.py
@@ -10,16 +10,13 @@
 
 from pydantic import ValidationError
 
-from cornelgap.cfg.findings import CfgFinding, find_nearest
+from cornelgap.cfg.findings import MAX_NEAREST, CfgFinding, find_nearest
 from cornelgap.cfg.linking import link_sections
 from cornelgap.cfg.models import SECTIONS
 from cornelgap.cfg.scanner import scan_text
 from cornelgap.core.errors import Code
 
 _SUFFIX = '*.ini'
-# Searching a near name costs time in the number of names, so that a folder
-# with thousands of faults would take minutes to check.
-_MAX_NEAREST = 50
 
 
 @dataclass(slots=True)
@@ -180,7 +177,7 @@
     kind = fault.get('type', 'extra_forbidden')
     if kind == 'extra_forbidden':
         nearest = ''
-        if len(findings) < _MAX_NEAREST:
+        if len(findings) < MAX_NEAREST:
             nearest = find_nearest(option, known)
         return CfgFinding(
             Code.CFG_UNKNOWN_OPTION,
--- a/cornelgap/cfg/linking.py
+++ b/cornelgap/cfg/linking.py
@@ -1,11 +1,9 @@
 """Link validated sections to one Cfg and check what holds between them."""
 
-from cornelgap.cfg.findings import CfgFinding, find_nearest
+from cornelgap.cfg.findings import MAX_NEAREST, CfgFinding, find_nearest
 from cornelgap.core import settings
 from cornelgap.core.errors import Code
 
-_MAX_NEAREST = 50
-
 
 def link_sections(models, meta):
     """Build the Cfg from validated sections.
@@ -74,7 +72,7 @@
         if service in known:
             continue
         near = ''
-        if len(findings) < _MAX_NEAREST:
+        if len(findings) < MAX_NEAREST:
             near = find_nearest(service, known)
         findings.append(
             CfgFinding(
--- a/cornelgap/operators/folder_commands.py
+++ b/cornelgap/operators/folder_commands.py
@@ -8,7 +8,7 @@
 from cyclopts import Parameter
 
 from cornelgap.cfg import applying
-from cornelgap.cfg.comparison import fingerprint, list_targets
+from cornelgap.cfg.comparison import fingerprint, list_gone
 from cornelgap.cfg.folder import load_folder
 from cornelgap.operators import printing
 from cornelgap.operators.changing import ChangeOptions, change_in_force
@@ -108,7 +108,7 @@
 
 def _find_busy(connection, store, plan):
     """Find targets that would go while entry instances still use them."""
-    gone = list_targets(plan.base) - list_targets(plan.cfg)
+    gone = list_gone(plan.base, plan.cfg)
     if not gone:
         return []
     reach = Reach.from_connection(connection)
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -72,9 +72,9 @@
 
     When operator "omar" runs "apply DIR -m early --base 3"
     Then the command exits with 6 and prints "PLT-003"
-    When operator "omar" runs "drain target s1 -m disk"
-    And an operator settles an unknown write on cfg revision 3
+    When cfg revision 3 comes in force between planning on 2 and writing on 3
     Then the cfg publication is refused with "OPS-001"
+    And the cfg platform has revision 3
 
   Scenario: A copy of the folder that was never applied must name its base
     Given the cfg operator folder forgets its base
@@ -99,6 +99,7 @@
       | old               | new                | hint                   |
       | [target s1]       | [target s9]        | without draining       |
       | 10.1.0.1:7000     | 10.1.0.3:7001      | target s1              |
+      | 10.1.0.1:7000     | 10.1.0.9:7000      | changes without draining |
       | [service archive] | [service documents]| targets removed first  |
 
   Scenario Outline: A folder adds keys and makes no later step of theirs
@@ -128,6 +129,16 @@
     When operator "amal" runs "apply DIR -m disk --base 3"
     Then the command exits with 0 and prints "accepted as revision 4"
 
+  Scenario: A target gets another address when nothing uses the old one
+    Given operator "amal" has run "drain target s1 -m move"
+    And cfg entry "e2" has 5 flows on target "s1"
+    When the cfg operator folder has "10.1.0.1:7000" replaced by "10.1.0.9:7000"
+    And operator "amal" runs "apply DIR -m move --base 3"
+    Then the command exits with 5 and prints "5 flows"
+    Given cfg entry "e2" has 0 flows on target "s1"
+    When operator "amal" runs "apply DIR -m move --base 3"
+    Then the command exits with 0 and prints "target.s1.address: 10.1.0.1:7000 -> 10.1.0.9:7000"
+
   Scenario: Targets and instances are drained and taken back
     When operator "amal" runs "drain instance e1 -m kernel"
     Then the command exits with 0 and prints "instance.e1.draining: (absent) -> yes"
--- a/features/steps/cfg_docs_steps.py
+++ b/features/steps/cfg_docs_steps.py
@@ -12,11 +12,15 @@
 from bench import errors_page
 from cornelgap.core.errors import Code
 from cornelgap.core.meanings import MEANINGS
+from cornelgap.entry.settings import load_settings
+from cornelgap.entry.trust import load_trust
+from cornelgap.kernel.credentials import MUTUAL
 from cornelgap.operators.exits import Exit
 from features.steps.cfg_operators_steps import run
 
 DOCS = Path(__file__).resolve().parent.parent.parent / 'docs'
 BLOCK = re.compile('^```sh\n(.*?)^```', re.MULTILINE | re.DOTALL)
+SETTINGS = re.compile('^```ini\n(.*?)^```', re.MULTILINE | re.DOTALL)
 # One command a line, or a here-document to its END.
 COMMAND = re.compile(
     "^[^\n]*<<'END'\n.*?^END$|^[^\n]+$", re.MULTILINE | re.DOTALL
@@ -61,6 +65,19 @@
     assert context.count > 25, context.count
 
 
+@then('the settings shown in "{page}" load without an error')
+def check_settings_shown(context, page):
+    (text,) = SETTINGS.findall((DOCS / page).read_text())
+    with tempfile.NamedTemporaryFile('w', suffix='.ini') as file:
+        file.write(text)
+        file.flush()
+        settings, errors = load_settings(file.name)
+    assert not errors, errors
+    trust, errors = load_trust(settings.sections)
+    assert not errors, errors
+    assert trust.platform.mode == MUTUAL
+
+
 @then('the page "{page}" is the one that the error catalogue gives')
 def check_page(context, page):
     missing = [code.name for code in Code if code not in MEANINGS]
--- a/features/steps/cfg_operators_steps.py
+++ b/features/steps/cfg_operators_steps.py
@@ -12,9 +12,11 @@
 import grpc
 from behave import given, then, when
 
-from cornelgap.cfg import document, publishing, staging
+from cornelgap.cfg import applying, document, staging
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import Cfg, KeyCfg, KeyStage, ServiceCfg
+from cornelgap.operators.changing import ChangeOptions, change_in_force
+from cornelgap.operators.connection import Connection
 from cornelgap.operators.fleet import InstanceStatus, wait_in_force
 from cornelgap.operators.main import run_command
 from cornelgap.wire import admin_pb2, admin_pb2_grpc, platform_pb2
@@ -193,9 +195,20 @@
     assert document.read_root(value)[0].revision == revision
 
 
-@when('an operator settles an unknown write on cfg revision {base:d}')
-def settle(context, base):
-    context.result = publishing.settle_earlier(context.store, base, 'unknown')
+@when('cfg revision 3 comes in force between planning on 2 and writing on 3')
+def plan_early(context):
+    def make_plan(store):
+        base = applying.load_base(store)
+        cfg = staging.set_instance_draining(base, 'e1', True)
+        run_before(context, 'huda', 'drain target s1 -m disk')
+        return applying.plan_change(base, cfg)
+
+    context.result, _ = change_in_force(
+        Connection(context.env['CORNELGAP_PLATFORM'], tls='off'),
+        ChangeOptions(message='early'),
+        make_plan,
+        lambda in_force: 3,
+    )
 
 
 @given('cfg entry "{name}" obeys other operators')
