--- a/cornelgap/operators/connection.py
+++ b/cornelgap/operators/connection.py
@@ -5,7 +5,7 @@
 import getpass
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 from cyclopts import Parameter
 
@@ -30,12 +30,12 @@
         ),
     ] = None
     tls: Annotated[
-        str,
+        Literal['settings', 'off'],
         Parameter(
             env_var='CORNELGAP_TLS',
             help='"off" switches TLS off; else [tls] of the settings counts.',
         ),
-    ] = ''
+    ] = 'settings'
     author: Annotated[
         str,
         Parameter(env_var='CORNELGAP_AUTHOR', help='Who makes the change.'),
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -212,8 +212,10 @@
   Scenario: A command without message, settings or sense is refused
     When operator "amal" runs "apply DIR"
     Then the command exits with 1 and prints "OPS-004"
-    When operator "amal" runs "history --tls ''"
+    When operator "amal" runs "history --tls settings"
     Then the command exits with 2 and prints "OPS-009"
+    When operator "amal" runs "history --tls of"
+    Then the command exits with 2 and prints "settings"
     When operator "amal" runs "histroy"
     Then the command exits with 2 and prints "history"
 
