Compare answers, feeds, admission, placement and fan-out with naive ones

Beside the examples, rule based machines run the parts against versions that know everything and only say what is allowed: 200 examples each, 15 of the fan-out against everyone reading the platform.

--- a/features/proof_differential.feature
+++ b/features/proof_differential.feature
@@ -21,3 +21,17 @@
     end the task that serves the callers.
     When each of 600 proof messages is spoilt and decoded
     Then no error without a code came out
+
+  Scenario Outline: A part gives no outcome that its naive version forbids
+    A decision that looks right in each example may still break a bound in
+    some order of events that nobody thought of.
+    When the proof machine "<machine>" runs for <count> examples
+    Then the proof machine found no difference
+
+    Examples:
+      | machine   | count |
+      | answer    | 200   |
+      | feed      | 200   |
+      | admission | 200   |
+      | placement | 200   |
+      | fan-out   | 15    |
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 from typing import Callable
 
-from cornelgap.call import flow
+from cornelgap.call import answer, feed, flow
 from cornelgap.cfg import document, publishing
 from cornelgap.core import token, verdicts, window
 from cornelgap.core.errors import Code
@@ -301,13 +301,13 @@
 
 
 def _take_any_event(patches):
-    def handle_event(state, now, held, feed, event):
-        if event.call_id == feed.call_id:
-            feed.ahead -= 1
-            feeds._stop_old_call(state, feed)
-        feed.events.append(event.payload)
-        feed.sent_at.append(-1.0)
-        feeds._send_unsent(state, now, held, feed)
+    def handle_event(state, now, held, live, event):
+        if event.call_id == live.call_id:
+            live.ahead -= 1
+            feeds._stop_old_call(state, live)
+        live.events.append(event.payload)
+        live.sent_at.append(-1.0)
+        feeds._send_unsent(state, now, held, live)
 
     patches.replace_function(feeds.handle_event, handle_event)
 
@@ -329,6 +329,33 @@
     )
 
 
+def _end_with_last(patches):
+    patches.set_attr(answer.Answer, 'is_whole', lambda self: self.last >= 0)
+
+
+def _give_events_early(patches):
+    def add_event(self, now, position, payload):
+        if position < self.position:
+            return []
+        self.position = position + 1
+        return [(position, payload)]
+
+    patches.set_attr(feed.Feed, 'add_event', add_event)
+
+
+def _ignore_conns(patches):
+    patches.set_attr(
+        placement.Placement, '_limit_flows', lambda self, name: float('inf')
+    )
+
+
+def _offer_anything(patches):
+    def take_offer(self, now, revision, payload):
+        self._offer = distribution._Offer(revision, payload, now)
+
+    patches.set_attr(distribution.Distribution, '_take_offer', take_offer)
+
+
 def _hop_on(patches):
     patches.set_attr(peering, 'MAX_HOPS', 1000)
 
@@ -511,6 +538,30 @@
         'a stop ends when nothing is left to finish',
         _stop_at_once,
     ),
+    Guard(
+        'answer-whole',
+        16,
+        'an answer is whole only with all its chunks',
+        _end_with_last,
+    ),
+    Guard(
+        'feed-order',
+        16,
+        'a caller gets events in order, each once',
+        _give_events_early,
+    ),
+    Guard(
+        'conn-limit',
+        0,
+        'a target gets no more flows than it can hold',
+        _ignore_conns,
+    ),
+    Guard(
+        'rising-offers',
+        11,
+        'a configuration on offer is higher than the one in force',
+        _offer_anything,
+    ),
     Guard('hop-limit', 0, 'a relayed packet ends after two hops', _hop_on),
     Guard('token-tag', 0, 'a token that was not minted is refused', _skip_tag),
 )
--- a/features/steps/proof_differential_steps.py
+++ b/features/steps/proof_differential_steps.py
@@ -7,9 +7,20 @@
 
 from cornelgap.core.errors import CodedError
 from cornelgap.wire.caller_codec import decode_datagram, encode_message
-from features.proofs import naive_codec, naive_route
+from features.proofs import (
+    naive_answers,
+    naive_codec,
+    naive_fanout,
+    naive_load,
+    naive_route,
+)
 
 MACHINES = {
+    'answer': naive_answers.AnswerMachine,
+    'feed': naive_answers.FeedMachine,
+    'admission': naive_load.AdmissionMachine,
+    'placement': naive_load.PlacementMachine,
+    'fan-out': naive_fanout.FanoutMachine,
     'window': naive_route.WindowMachine,
     'token': naive_route.TokenMachine,
 }
