Refuse to re-home where no token can be minted

One function now finds what stands against a re-home; a service that is unknown only because this instance is behind is refused as such.

--- a/cornelgap/entry/routing.py
+++ b/cornelgap/entry/routing.py
@@ -246,15 +246,9 @@
     is run or said not to have run.  Like an open, this stores nothing; two
     instances may both do it, and the caller uses one of the two tokens.
     """
-    service = state.cfg.services.get(token.service)
-    if service is None or state.leaving:
-        code = Code.REQ_NO_SERVICE if service is None else Code.REQ_STOPPING
-        refuse_datagram(state, address, message, size, code, BEHIND_RETRY_MS)
-        return
-    if _is_behind(state, token):
-        refuse_datagram(
-            state, address, message, size, Code.REQ_BEHIND, BEHIND_RETRY_MS
-        )
+    problem = _find_rehome_problem(state, token)
+    if problem:
+        refuse_datagram(state, address, message, size, problem, BEHIND_RETRY_MS)
         return
     urgent = message.kind != pb.CLOSE
     if not state.rehome_pacer.take(now, urgent=urgent):
@@ -288,6 +282,18 @@
     )
 
 
+def _find_rehome_problem(state, token):
+    if state.leaving:
+        return Code.REQ_STOPPING
+    if _is_behind(state, token):
+        return Code.REQ_BEHIND
+    if token.service not in state.cfg.services:
+        return Code.REQ_NO_SERVICE
+    if pick_signing_key(state.cfg.keys) is None:
+        return Code.REQ_NO_CFG
+    return None
+
+
 def _is_behind(state, token):
     """Say whether this instance lacks the facts that a token relies on.
 
