--- a/features/proof_traps.feature
+++ b/features/proof_traps.feature
@@ -139,6 +139,15 @@
     Then the proof checkers have no objection
     But they object once the guard "retire-late" is taken out
 
+  @must-true-refusal
+  Scenario: A key ring that signs nothing does not end the packet task
+    An operator retires the last signing key and a home dies.  Its flows'
+    packets reach an entry that can mint no token; an error there would end
+    the task that serves all other flows.
+    When the proof story "no signing key" is played
+    Then the proof checkers have no objection
+    But they object once the guard "rehome-problem" is taken out
+
   @must-at-most-once @must-graceful-stop
   Scenario: A handover that arrives twice brings back no old window
     The answer to a handover is lost and the leaving entry sends it again.
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -356,6 +356,10 @@
     patches.set_attr(distribution.Distribution, '_take_offer', take_offer)
 
 
+def _rehome_anyway(patches):
+    patches.replace_function(routing._find_rehome_problem, lambda *args: None)
+
+
 def _hop_on(patches):
     patches.set_attr(peering, 'MAX_HOPS', 1000)
 
@@ -562,6 +566,12 @@
         'a configuration on offer is higher than the one in force',
         _offer_anything,
     ),
+    Guard(
+        'rehome-problem',
+        0,
+        'what cannot be re-homed is refused before a token is minted',
+        _rehome_anyway,
+    ),
     Guard('hop-limit', 0, 'a relayed packet ends after two hops', _hop_on),
     Guard('token-tag', 0, 'a token that was not minted is refused', _skip_tag),
 )
--- a/features/proofs/stories.py
+++ b/features/proofs/stories.py
@@ -250,6 +250,24 @@
     return judge(desk, not desk.runs and 'a token in use was refused')
 
 
+def play_no_signing_key():
+    """A home dies while the key ring of its peer has no signing key."""
+    desk = Desk()
+    desk.start_entry('e1')
+    desk.start_entry('e2')
+    flow = desk.open('e1')
+    desk.lose_entry('e1', seen_by=('e2',))
+    retiring = replace(KEY, stage=KeyStage.RETIRING)
+    desk.adopt('e2', make_cfg(2, keys=(retiring,)))
+    replies = desk.request('e2', flow, 1)
+    waits = [
+        one
+        for one in pick(replies, msg.Refused)
+        if one.verdict.retry_after_ms and one.verdict.same_id
+    ]
+    return judge(desk, not waits and 'no answer and no time to come back')
+
+
 def play_repeated_handover():
     """A handover's answer is lost, its successor restarts, it is repeated."""
     desk = Desk()
--- a/features/proofs/world.py
+++ b/features/proofs/world.py
@@ -213,8 +213,9 @@
         """Publish a key, sign with it, retire the old one, in steps."""
         key_id = max(self.platform.newest().keys) + 1
         new = KeyCfg(key_id, bytes([key_id]) * 32, KeyStage.PUBLISHED)
-        self.publish(lambda cfg: replace(cfg, keys={**cfg.keys, key_id: new}))
-        self.loop.at(1.5, self._sign_with, key_id)
+        ring = {**self.platform.newest().keys, key_id: new}
+        if self.publish(lambda cfg: replace(cfg, keys=ring)):
+            self.loop.at(1.5, self._sign_with, key_id)
 
     def _sign_with(self, key_id):
         def change(cfg):
