--- a/bench/control.py
+++ b/bench/control.py
@@ -16,11 +16,14 @@
 import contextlib
 import json
 import re
+import signal
 import statistics
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import grpc
@@ -41,6 +44,7 @@
 UDP_HEAD = 28
 TCP_HEAD = 52
 TIMEOUT_S = 90
+STARTERS = 8
 
 
 class Fleet:
@@ -57,7 +61,8 @@
         channel = stack.enter_context(grpc.insecure_channel(self.address))
         self.control = ControlStub(channel)
         self.revision = 0
-        self.entries = [self._start_entry(index) for index in range(size)]
+        with ThreadPoolExecutor(STARTERS) as starters:
+            self.entries = list(starters.map(self._start_entry, range(size)))
         self.stubs = [
             AdminStub(
                 stack.enter_context(
@@ -189,7 +194,7 @@
 
 
 def run_idle(size):
-    """Measure one fleet without callers."""
+    """Measure one fleet without callers and print the figures."""
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         fleet = Fleet(stack, folder, size)
@@ -210,7 +215,9 @@
             [(b[at] - a[at]) / passed for a, b in zip(before, after)]
             for at in (0, 2, 3)
         )
-        return {
+        # Printed before the processes are ended: each one's planned stop
+        # takes some seconds.
+        result = {
             'entries': size,
             'seconds': round(passed, 1),
             'cpu_percent_mean': round(100 * statistics.mean(cpu), 3),
@@ -231,6 +238,7 @@
                 (later.watches - calls.watches) / passed, 2
             ),
         }
+        print(json.dumps(result), flush=True)
 
 
 def run_force(changes, size, down_s):
@@ -273,9 +281,11 @@
     force.add_argument('--entries', type=int, default=6)
     force.add_argument('--down-s', type=float, default=0)
     args = parser.parse_args()
+    # Told to end, it must end the processes that it started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     if args.command == 'idle':
         for size in args.sizes:
-            print(json.dumps(run_idle(size)), flush=True)
+            run_idle(size)
     else:
         result = run_force(args.changes, args.entries, args.down_s)
         print(json.dumps(result), flush=True)
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -66,6 +66,16 @@
     And it prints "huda"
     And the cfg platform has revision 3
 
+  Scenario: A change is not written on a base that it was not planned on
+    The operator states a revision that comes in force a moment later. What
+    was checked is then something else than what would be written.
+
+    When operator "omar" runs "apply DIR -m early --base 3"
+    Then the command exits with 6 and prints "PLT-003"
+    When cfg revision 3 comes in force between planning on 2 and writing on 3
+    Then the cfg publication is refused with "OPS-001"
+    And the cfg platform has revision 3
+
   Scenario: A copy of the folder that was never applied must name its base
     Given the cfg operator folder forgets its base
     When the cfg operator folder gets "20-local.ini" with "[service search]~token_s = 300"
@@ -89,6 +99,7 @@
       | old               | new                | hint                   |
       | [target s1]       | [target s9]        | without draining       |
       | 10.1.0.1:7000     | 10.1.0.3:7001      | target s1              |
+      | 10.1.0.1:7000     | 10.1.0.9:7000      | changes without draining |
       | [service archive] | [service documents]| targets removed first  |
 
   Scenario Outline: A folder adds keys and makes no later step of theirs
@@ -118,6 +129,16 @@
     When operator "amal" runs "apply DIR -m disk --base 3"
     Then the command exits with 0 and prints "accepted as revision 4"
 
+  Scenario: A target gets another address when nothing uses the old one
+    Given operator "amal" has run "drain target s1 -m move"
+    And cfg entry "e2" has 5 flows on target "s1"
+    When the cfg operator folder has "10.1.0.1:7000" replaced by "10.1.0.9:7000"
+    And operator "amal" runs "apply DIR -m move --base 3"
+    Then the command exits with 5 and prints "5 flows"
+    Given cfg entry "e2" has 0 flows on target "s1"
+    When operator "amal" runs "apply DIR -m move --base 3"
+    Then the command exits with 0 and prints "target.s1.address: 10.1.0.1:7000 -> 10.1.0.9:7000"
+
   Scenario: Targets and instances are drained and taken back
     When operator "amal" runs "drain instance e1 -m kernel"
     Then the command exits with 0 and prints "instance.e1.draining: (absent) -> yes"
@@ -134,6 +155,17 @@
     When operator "amal" runs "drain instance e9 -m disk"
     Then the command exits with 1 and prints "OPS-006"
 
+  Scenario: An instance that does not stop is not called drained
+    The change is accepted, yet the entry takes no order from this operator.
+    Whoever reads "drained" replaces the instance with flows on it.
+
+    Given cfg entry "e1" obeys other operators
+    When operator "amal" runs "drain instance e1 -m kernel"
+    Then the command exits with 1 and prints "OPS-007"
+    Given cfg entry "e2" is dead
+    When operator "amal" runs "drain instance e2 -m kernel --wait-s 0"
+    Then the command exits with 4 and prints "no planned stop"
+
   Scenario: A key is published, signs when known everywhere, and retires late
     An entry that does not know a key yet takes every token signed with it
     for a forgery; a key that goes early makes valid tokens look forged.
@@ -180,8 +212,10 @@
   Scenario: A command without message, settings or sense is refused
     When operator "amal" runs "apply DIR"
     Then the command exits with 1 and prints "OPS-004"
-    When operator "amal" runs "history --tls ''"
+    When operator "amal" runs "history --tls settings"
     Then the command exits with 2 and prints "OPS-009"
+    When operator "amal" runs "history --tls of"
+    Then the command exits with 2 and prints "settings"
     When operator "amal" runs "histroy"
     Then the command exits with 2 and prints "history"
 
