--- a/bench/wire.py
+++ b/bench/wire.py
@@ -28,11 +28,15 @@
 from cornelgap.call.main import parse_address
 from cornelgap.call.report import pick_percentiles
 from cornelgap.core import messages as msg
+from cornelgap.wire import caller_pb2 as pb
 from cornelgap.wire import target_pb2, target_pb2_grpc
 from cornelgap.wire.caller_codec import decode_datagram, encode_message
 
 ROUNDS = 5
 TOKEN_S = 3600
+CONNS = 1000000
+"""Flows that a target of the bench can hold: with the 2,000 of a real one,
+six thousand opens would fill three targets and the rest be refused."""
 
 app = cyclopts.App(help=__doc__)
 
@@ -44,7 +48,7 @@
         'bench',
         1,
         entries,
-        (ServicePlan('search', targets, slots, token_s=TOKEN_S),),
+        (ServicePlan('search', targets, slots, token_s=TOKEN_S, conns=CONNS),),
     )
     with contextlib.ExitStack() as stack:
         folder = stack.enter_context(
@@ -109,9 +113,9 @@
             cpu = proc.read_cpu_s()
             answers, seconds = flood.run(datagrams)
             costs.append((proc.read_cpu_s() - cpu) / answers * 1e6)
-            rates.append(answers / seconds)
+            rates.append(flood.kinds[pb.OPENED] / seconds)
             flood.close()
-            print(f'  round: {answers} answers, {flood.lost} lost')
+            print(f'  round: {flood.describe()}')
     print_rate('opens', rates)
     print_rate('processor time of the entry for each', costs, ' us')
 
@@ -137,7 +141,7 @@
                 costs.append((other.read_cpu_s() - cpu) / answers * 1e6)
                 rates.append(answers / seconds)
                 flood.close()
-                print(f'  round: {answers} answers, {flood.lost} lost')
+                print(f'  round: {flood.describe()}')
             print_rate(f'outcome queries {name}', rates)
             print_rate('  processor time of the other entry', costs, ' us')
 
@@ -175,27 +179,33 @@
 
 
 @app.command
-def hold(few: int = 3000, many: int = 300000, count: int = 20000):
-    """Memory of many flows held, and the speed with many against few."""
+def hold(
+    few: int = 3000, many: int = 300000, count: int = 20000, mark: bool = True
+):
+    """Memory of many flows held, and the speed with many against few.
+
+    :param mark: let each flow have had one ended request; without it the
+        flows are only held.
+    """
     medians = {}
     for held in (few, many):
         with start_deployment(1) as deployment:
-            medians[held] = _hold_flows(deployment, held, count)
+            medians[held] = _hold_flows(deployment, held, count, mark)
     print(f'speed with {few} over {many}: {medians[few] / medians[many]:.2f}')
 
 
-def _hold_flows(deployment, held, count):
+def _hold_flows(deployment, held, count, mark):
     proc, address = list_entries(deployment)[0]
     before = proc.read_memory()
     tokens, (_, seconds) = open_flows(address, held)
     print(f'opened {len(tokens)} in {seconds:.1f} s')
     flood = Flood(address)
-    # A cancelled number marks the flow's window, as a request would.
-    flood.run(
-        encode_message(msg.Cancel('search', token, 1)) for token in tokens
-    )
+    # A cancelled number marks the flow's window, as a request would; a
+    # question only makes the home hold the flow.
+    touch = msg.Cancel if mark else msg.OutcomeQuery
+    flood.run(encode_message(touch('search', token, 1)) for token in tokens)
     # Ended requests are kept for 30 s; what stays after is the flow.
-    time.sleep(40)
+    time.sleep(40 if mark else 2)
     used = proc.read_memory() - before
     print(
         f'{len(tokens)} flows held: {used / len(tokens):,.0f} bytes each '
--- a/cornelgap/decisions/placement.py
+++ b/cornelgap/decisions/placement.py
@@ -10,9 +10,11 @@
 
 import enum
 import math
+import statistics
 from dataclasses import dataclass
 
 from cornelgap.core.settings import TargetMode
+from cornelgap.decisions.ends import CallEnd
 from cornelgap.decisions.health import Health, HealthState
 from cornelgap.decisions.pacing import Pacer
 from cornelgap.decisions.slowstart import compute_share
@@ -22,24 +24,35 @@
 """How much one request in flight per slot counts against a mean share of
 flows; measured in docs/DECISIONS.md."""
 
-_ZONE_COST = 0.05
+_ZONE_COST = 0.02
 """What another zone costs, in mean shares of flows: 0.5 ms more each way
 against 3 ms to the caller, so it decides only between near equals."""
 
+_MIN_SLOWNESS = 1.25
+"""The mean of ten requests varies by this much without a cause."""
+
+_MAX_SLOWNESS = 8.0
+
 _PANIC_SHARE = 0.5
 """Fewer trusted targets than this share: spread over all of them."""
 
 _HOLD_S = 5.0
 """How long an imbalance must last; a burst of opens evens out by itself."""
 
-_NOBODY = frozenset()
-
 _TOLERANCE = 0.1
+"""Gap, in mean shares of flows, that a weight of 1 leaves alone."""
+
 _MOVES_PER_S = 5.0
+"""An imbalance of hours may take a minute to mend; a feed handed over for
+nothing is the worse loss."""
+
 _CONN_SLACK = 1.25
 """The fabric spreads flows unevenly; a target refuses the rest itself."""
 
 
+_NOBODY = frozenset()
+
+
 class TargetState(enum.Enum):
     """What placement does with a target."""
 
@@ -137,11 +150,15 @@
         """Take in the end of a request.
 
         :param ended: a :class:`~cornelgap.decisions.ends.CallEnd`.
-        :param took_s: seconds since it was sent.
+        :param took_s: seconds since its home received it.  The wait at home
+            belongs to it: a target with a hot flow answers each request
+            as usual while its queue grows.
         """
         load = self._loads.get(target)
         if load is not None:
             load.note_in_flight(now, -1)
+            if ended in _TELLING_ENDS:
+                load.took.add(took_s)
             self._health.note_end(target, now, ended)
 
     def note_report(self, target, now, in_flight, waiting, slots, draining):
@@ -198,23 +215,37 @@
         target = self._targets.get(name)
         if target is None:
             return TargetState.GONE
-        load = self._loads[name]
-        if target.mode is TargetMode.DRAINING or load.reports_draining:
+        state = self._read_serving(name, now)
+        if state is TargetState.ACTIVE and self._read_share(name, now) < 1:
+            return TargetState.COLD
+        return state
+
+    def _read_serving(self, name, now):
+        """Give the state, with cold targets among the active ones.
+
+        Each open asks this of each target; how cold one is matters only to
+        its score, where it is worked out once.
+        """
+        target = self._targets[name]
+        if (
+            target.mode is TargetMode.DRAINING
+            or self._loads[name].reports_draining
+        ):
             return TargetState.DRAINING
         if self._health.read_state(name, now) is HealthState.EJECTED:
             return TargetState.EJECTED
-        if self._read_share(name, now) < 1:
-            return TargetState.COLD
         return TargetState.ACTIVE
 
     def _read_share(self, name, now):
+        since = self._loads[name].since
         returned = self._health.read_returned_at(name)
-        share = compute_share(now, self._loads[name].since)
-        return min(share, compute_share(now, returned))
+        if since is None and returned is None:
+            return 1.0
+        return min(compute_share(now, since), compute_share(now, returned))
 
     def _list_usable(self, now, exclude):
         states = {
-            name: self._read_state(name, now)
+            name: self._read_serving(name, now)
             for name in self._targets
             if name not in exclude
         }
@@ -264,7 +295,7 @@
             return conns
         return math.ceil(conns / self._instances * _CONN_SLACK)
 
-    def _score(self, now, names):
+    def _score(self, now, names, load_weight=_LOAD_WEIGHT):
         """Return the score of each name; the lowest takes the next flow."""
         loads = {name: self._loads[name] for name in names}
         flows = sum(load.flows for load in loads.values())
@@ -272,16 +303,25 @@
         mean_flows = max(flows / slots, 1 / slots)
         others = sum(load.others for load in loads.values()) / slots
         scores = {}
+        usual_took = self._read_usual_took(loads)
         for name, load in loads.items():
-            share = load.slots * self._read_share(name, now)
+            slowness = _rate_slowness(load, usual_took)
+            share = load.slots / slowness
+            # An ejected target is only here when panic spreads flows.
+            if self._read_state(name, now) is not TargetState.EJECTED:
+                share *= self._read_share(name, now)
             busy = load.estimate(now, others * load.slots) / load.slots
             score = (load.flows + 1) / share / mean_flows
-            score += _LOAD_WEIGHT * busy
+            score += load_weight * busy
             if self._targets[name].zone != self._zone:
                 score += _ZONE_COST
             scores[name] = score
         return scores
 
+    def _read_usual_took(self, loads):
+        known = [load.took.read(0) for load in loads.values()]
+        return statistics.median(known) if all(known) else 0
+
     def _choose_escapes(self, now, limit):
         moves = []
         usable = set(self._list_usable(now, _NOBODY))
@@ -313,12 +353,15 @@
         names = self._list_usable(now, _NOBODY)
         if len(names) < 2 or self._weight <= 0:
             return []
-        scores = self._score(now, names)
+        # Requests in flight change within a second, flows are to stay.
+        scores = self._score(now, names, load_weight=0)
         highest = max(names, key=scores.get)
         lowest = min(names, key=scores.get)
-        mean = sum(scores.values()) / len(scores)
-        bound = mean * (1 + _TOLERANCE / self._weight)
-        if scores[highest] <= bound or self._loads[highest].flows < 2:
+        # From highest to lowest, as a joined target is far below the mean
+        # while the others are hardly above it.
+        gap = scores[highest] - scores[lowest]
+        bound = _TOLERANCE / self._weight
+        if gap <= bound or self._loads[highest].flows < 2:
             self._imbalanced_since = None
             return []
         if self._imbalanced_since is None:
@@ -329,4 +372,18 @@
         return [Move(highest, lowest)]
 
 
+def _rate_slowness(load, usual_took):
+    """Return how many times slower than usual a target answers, 1 to 8.
+
+    Its flows then count as that many: a slow target, a cold one, or one
+    with a hot flow, gets fewer new flows and gives up some that it has.
+    """
+    if not usual_took:
+        return 1.0
+    ratio = load.took.read(usual_took) / usual_took
+    # Without a jump at the bound: there each answer would move a flow.
+    return min(1 + max(0, ratio - _MIN_SLOWNESS), _MAX_SLOWNESS)
+
+
+_TELLING_ENDS = frozenset((CallEnd.OK, CallEnd.TIMEOUT))
 _STAYING = frozenset((TargetState.ACTIVE, TargetState.COLD))
