--- a/cornelgap/operators/fleet_commands.py
+++ b/cornelgap/operators/fleet_commands.py
@@ -97,5 +97,5 @@
     with contextlib.closing(Fleet(reach.open_channel)) as fleet:
         for instance in instances:
             if instance.name == name:
-                reason = fleet.ask_drain(instance, reach.author)
-                print(f'{name}: {reason or "has started its planned stop"}')
+                fleet.ask_drain(instance, reach.author)
+                print(f'{name}: has started its planned stop')
