Let a cold start learn from its peer whom to ask

Ruled out: longer lists in the settings, which go stale. Both scenarios seen red with the hint taken as a listing and as an overwrite.

--- a/cornelgap/decisions/membership.py
+++ b/cornelgap/decisions/membership.py
@@ -124,6 +124,22 @@
             )
         self._forget_silent(now)
 
+    def note_hinted(self, now, instances):
+        """Take in peers that another peer names.
+
+        Only what is unknown is filled in: the platform's list and what a
+        peer says of itself are nearer to the truth.
+
+        :param instances: :class:`cornelgap.core.control.Instance` items.
+        """
+        for instance in instances:
+            if instance.name == self.own:
+                continue
+            peer = self._get_peer(now, instance.name)
+            peer.zone = peer.zone or instance.zone
+            peer.address = peer.address or instance.address
+            peer.api = peer.api or instance.api
+
     def note_heard(self, now, name, boot, revision, leaving, api, address=''):
         """Take in any authentic datagram of a peer.
 
--- a/cornelgap/entry/cfg_actor.py
+++ b/cornelgap/entry/cfg_actor.py
@@ -13,6 +13,7 @@
 
 from cornelgap.cfg import document
 from cornelgap.cfg.publishing import ROOT_NAME, read_current
+from cornelgap.core.control import Instance
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.entry.distribution import (
     CloseWatch,
@@ -21,7 +22,7 @@
     ReadPlatform,
 )
 from cornelgap.entry.instances import INSTANCES, ListSoon
-from cornelgap.entry.packets import AdoptCfg, ReadState
+from cornelgap.entry.packets import AdoptCfg, PeersHinted, ReadState
 from cornelgap.entry.views import read_view
 from cornelgap.kernel.names import tell_ref, tell_service
 from cornelgap.kernel.service import Service
@@ -189,8 +190,17 @@
             self._distribution.note_fetched(now, message.name, 0)
         else:
             self._decode_reply(now, message.name, message.reply.document)
+        self._pass_hints(message.reply)
         self._act()
 
+    def _pass_hints(self, reply):
+        if reply is not None and reply.peers:
+            hints = [
+                Instance(peer.name, peer.zone, peer.address, peer.api)
+                for peer in reply.peers
+            ]
+            tell_ref(self._packet, PeersHinted(hints))
+
     def _decode_reply(self, now, name, trimmed):
         bundle = document.complete_bundle(trimmed, self._bundle)
         cfg, findings = document.decode_bundle(bundle)
--- a/cornelgap/entry/engine.py
+++ b/cornelgap/entry/engine.py
@@ -115,6 +115,10 @@
         self.state.listed_leaving = frozenset(leaving_targets)
         update_leaving(self.state)
 
+    def note_hints(self, now, peers):
+        """Take names of entry instances from a peer; hints as well."""
+        self.state.membership.note_hinted(now, peers)
+
     def take_handover(self, now, records):
         """Become home of flows handed over.
 
--- a/cornelgap/entry/node.py
+++ b/cornelgap/entry/node.py
@@ -26,6 +26,7 @@
     CallEvents,
     Leave,
     PacketActor,
+    ReadState,
     TakeHandover,
     format_address,
     open_socket,
@@ -124,7 +125,9 @@
         self.ended.set()
 
     def _start_peer_server(self):
-        service = PeerService(self.boot, self._ask_cfg, self._ask_handover)
+        service = PeerService(
+            self.boot, self._ask_cfg, self._ask_handover, self._ask_peers
+        )
         self._server, port = self._loops.submit(
             start_peer_server(
                 service, self.settings.api, load_server(self.trust.fleet)
@@ -209,6 +212,16 @@
         ref = get_service(self.settings.name, CFG)
         return ref.ask(ReadBundle(known, known_revision), block=False)
 
+    def _ask_peers(self):
+        settings = self.settings
+        own = Instance(settings.name, settings.zone, self.private, self.api)
+
+        def read(state, now):
+            return [own, *state.membership.list_live_instances(now)]
+
+        ref = get_service(settings.name, PACKETS)
+        return ref.ask(ReadState(read), block=False)
+
     def _ask_handover(self, records):
         ref = get_service(self.settings.name, PACKETS)
         return ref.ask(TakeHandover(records), block=False)
--- a/cornelgap/entry/packets.py
+++ b/cornelgap/entry/packets.py
@@ -65,6 +65,13 @@
     leaving_targets: frozenset = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class PeersHinted:
+    """Message: a peer has named other entry instances."""
+
+    peers: list
+
+
 @dataclass(frozen=True, slots=True)
 class TakeHandover:
     """Message: flow records of a peer that leaves; asked, not told."""
@@ -160,6 +167,7 @@
             CallEvents: self._take_events,
             AdoptCfg: self._adopt_cfg,
             InstancesListed: self._note_instances,
+            PeersHinted: self._note_hints,
             TakeHandover: self._take_handover,
             Leave: self._leave,
             ReadState: self._read_state,
@@ -217,6 +225,9 @@
             time.monotonic(), message.entries, message.leaving_targets
         )
 
+    def _note_hints(self, message):
+        self._engine.note_hints(time.monotonic(), message.peers)
+
     def _take_handover(self, message):
         now = time.monotonic()
         taken, effects = self._engine.take_handover(now, message.records)
--- a/cornelgap/entry/peer_server.py
+++ b/cornelgap/entry/peer_server.py
@@ -26,11 +26,14 @@
         of (revision, trimmed bundle).
     :param take_handover: takes flow records and returns a pykka future of
         the number of flows that are owned here now.
+    :param ask_peers: returns a pykka future of the live peers, as
+        :class:`cornelgap.core.control.Instance`; None to name nobody.
     """
 
-    def __init__(self, boot, ask_cfg, take_handover):
+    def __init__(self, boot, ask_cfg, take_handover, ask_peers=None):
         """Serve for the process with this boot nonce."""
         self._boot = boot
+        self._ask_peers = ask_peers
         self._ask_cfg = ask_cfg
         self._take_handover = take_handover
 
@@ -40,7 +43,17 @@
         revision, bundle = await ask_actor(
             context, self._ask_cfg, known, request.known_revision
         )
-        return peer_pb2.CfgReply(revision=revision, document=bundle)
+        peers = ()
+        if self._ask_peers is not None and not request.known_revision:
+            # An instance that starts cold while the platform is down has
+            # no list.  Without these names it asks nobody, nobody learns
+            # its address, and each flow that it opens is re-homed at once.
+            peers = await ask_actor(context, self._ask_peers)
+        return peer_pb2.CfgReply(
+            revision=revision,
+            document=bundle,
+            peers=[_encode_hint(peer) for peer in peers],
+        )
 
     async def Handover(self, request, context):
         """Take flows of a peer that leaves."""
@@ -50,6 +63,12 @@
         return peer_pb2.HandoverReply(boot=self._boot, taken=taken)
 
 
+def _encode_hint(peer):
+    return peer_pb2.PeerHint(
+        name=peer.name, zone=peer.zone, address=peer.address, api=peer.api
+    )
+
+
 async def start_peer_server(service, address, credentials=None):
     """Start the server; call it in the loop's thread.
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -107,3 +107,22 @@
     Given a membership of 40 entries, all heard at 0 s
     When 20 of the membership's entries are silent until 30 s
     Then each other entry was asked by the membership after 20 s
+
+  Scenario: An instance that starts while the platform is down asks the peers that a peer names
+    The platform is frozen, and a new entry instance takes the configuration
+    from a peer. It has no list, so it would ask nobody, and nobody would
+    learn its address: each flow that it opens would be re-homed at once and
+    its caller's holds end in doubt.
+
+    Given a membership that knows nobody
+    When a peer names 3 entries to the membership
+    Then the membership takes none of them for live before it answers
+    And the membership asks these 3 entries
+
+  Scenario: What a peer names does not replace what is known already
+    A peer's view of addresses is older than what an instance says itself.
+    Overwriting it would send datagrams to where nobody is any more.
+
+    Given a membership of 6 entries, all heard at 0 s
+    When a peer names "e2" at another address to the membership
+    Then the membership keeps the address of "e2"
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -264,3 +264,41 @@
 def check_heard(context, least):
     for name, heard in context.heard.items():
         assert len(heard) >= least, (name, len(heard))
+
+
+@given('a membership that knows nobody')
+def make_lonely(context):
+    context.members = Membership.from_settings('e0', 'z0', context.rng)
+    context.members.choose_pings(0)
+
+
+@when('a peer names {count:d} entries to the membership')
+def name_entries(context, count):
+    context.hints = list_entries(count + 1)[1:]
+    context.members.note_hinted(0, context.hints)
+
+
+@then('the membership asks these {count:d} entries')
+def check_asked(context, count):
+    asked = set()
+    for tick in range(1, 100):
+        asked.update(context.members.choose_pings(tick * TICK_S))
+    assert asked == {hint.name for hint in context.hints}, asked
+    assert len(asked) == count
+
+
+@then('the membership takes none of them for live before it answers')
+def check_none_live(context):
+    assert context.members.list_live(0) == []
+
+
+@when('a peer names "{name}" at another address to the membership')
+def name_elsewhere(context, name):
+    hint = Instance(name, 'z9', '127.0.0.1:9', 'elsewhere')
+    context.members.note_hinted(1, [hint])
+
+
+@then('the membership keeps the address of "{name}"')
+def check_address(context, name):
+    listed = {entry.name: entry.address for entry in context.entries}
+    assert context.members.find_address(name) == listed[name]
