--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -279,7 +279,7 @@
 
 
 @then('the membership asks these {count:d} entries')
-def check_asked(context, count):
+def check_hinted_asked(context, count):
     asked = set()
     for tick in range(1, 100):
         asked.update(context.members.choose_pings(tick * TICK_S))
