--- a/cornelgap/decisions/retry.py
+++ b/cornelgap/decisions/retry.py
@@ -1,8 +1,8 @@
 """Retries that cannot multiply: a budget, a deadline, and jitter.
 
 Load pattern: a target slows down or sheds, so more requests fail, so more
-are sent again.  Without a budget three tries a request turn 1.2 times the
-capacity into more than 3 times, and the service stays down after the cause
+are sent again.  Without a budget three more tries can make four times
+the load of each request, and the service stays down after the cause
 has gone.  With one, retries are at most a fixed share of the requests.
 """
 
