--- a/features/proof_world.feature
+++ b/features/proof_world.feature
@@ -9,6 +9,7 @@
 
   Scenario: Two faults at a time in random order
     Entries die, pause and restart, targets fail in every way, zones are
-    cut, the platform is away: two of these at a time, in a random order.
+    cut, the platform is away, and operators stop, add, drain and rotate in
+    between: two of these at a time, in a random order.
     When the proof world runs 20 seeds with 2 faults from 100
     Then every proof checker passed each of them
