--- a/cornelgap/entry/state.py
+++ b/cornelgap/entry/state.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from dataclasses import dataclass, field
 
 from cornelgap.core.settings import Cfg, TargetMode
@@ -173,6 +173,7 @@
     recent_opens: deque = field(default_factory=deque)
     moves: dict = field(default_factory=dict)
     next_round_at: float = 0
+    moves_turn: list = field(default_factory=list)
     next_moves_at: float = 0
     alive_sent: dict = field(default_factory=dict)
     next_call_id: int = 1
@@ -183,7 +184,10 @@
     next_batch_id: int = 1
     feed_keys: list = field(default_factory=list)
     sweep_keys: list = field(default_factory=list)
-    kept_ended: dict = field(default_factory=dict)
+    # Ordered by the time of the end.  A plain dict keeps the holes of what
+    # was taken from its front and walks over them to find the first item,
+    # which for many ended requests takes all of the actor's time.
+    kept_ended: OrderedDict = field(default_factory=OrderedDict)
     rehome_pacer: Pacer = field(
         default_factory=lambda: Pacer(REHOME_RATE, REHOME_BURST)
     )
