--- a/features/proof_traps.feature
+++ b/features/proof_traps.feature
@@ -261,6 +261,23 @@
     Then the proof checkers have no objection
     But they object once the guard "refusal-proof" is taken out
 
+  @must-graceful-stop
+  Scenario: A caller that misses its new token is told again
+    An entry is replaced and the one datagram that tells an idle student's
+    browser of the new token is lost.  Its next hold would meet an entry
+    that is gone, and end in doubt though it never ran.
+    When the proof story "missed move" is played
+    Then the proof checkers have no objection
+    But they object once the guard "tell-again" is taken out
+
+  @must-graceful-stop @must-at-most-once
+  Scenario: A closed flow stays closed at its successor
+    A student leaves, the flow is handed over, and a hold that was on its
+    way since before arrives.  Nobody waits for it any more.
+    When the proof story "closed flow" is played
+    Then the proof checkers have no objection
+    But they object once the guard "closed-kept" is taken out
+
   @must-graceful-stop @must-feed-survives
   Scenario: All entries are replaced under work, and nobody is cut
     Each entry leaves in turn while holds, downloads and feeds go on.  No
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -210,6 +210,21 @@
     patches.set_attr(routing, 'verify_token', verify_token)
 
 
+def _never_tell_again(patches):
+    patches.replace_function(handover.tell_again, lambda state, now: None)
+
+
+def _reopen_flows(patches):
+    plain = handover._build_record
+
+    def build_record(*args):
+        record = plain(*args)
+        record.closed = False
+        return record
+
+    patches.replace_function(handover._build_record, build_record)
+
+
 def _take_twice(patches):
     plain = handover._take_record
 
@@ -440,6 +455,18 @@
         'a retiring key still verifies',
         _verify_with_signing,
     ),
+    Guard(
+        'tell-again',
+        0,
+        'a caller is told twice of its new token after a handover',
+        _never_tell_again,
+    ),
+    Guard(
+        'closed-kept',
+        0,
+        'a closed flow is handed over as closed',
+        _reopen_flows,
+    ),
     Guard(
         'handover-once',
         0,
--- a/features/proofs/stories.py
+++ b/features/proofs/stories.py
@@ -307,22 +307,51 @@
 def play_doubled_handover():
     """A handover arrives twice, with a hold run in between."""
     desk = Desk()
+    flow, ((name, effect),) = hand_over_flow(desk)
+    desk.request('e2', flow, 2)
+    desk.run_all()
+    desk.deliver_records(name, effect)
+    desk.request('e2', flow, 1)
+    desk.request('e2', flow, 2)
+    desk.run_all()
+    return judge(desk)
+
+
+def play_missed_move():
+    """A caller misses the datagram with its new token after a handover."""
+    desk = Desk()
+    flow, _ = hand_over_flow(desk)
+    desk.pass_time(2)
+    told = pick([message for message, _ in desk.told], msg.Moved)
+    again = [moved for moved in told if moved.epoch == flow.epoch]
+    return judge(desk, len(again) < 2 and 'told its new token only once')
+
+
+def play_closed_flow():
+    """A flow is closed and handed over; then a late first copy comes."""
+    desk = Desk()
+    flow, _ = hand_over_flow(desk, closed=True)
+    desk.request('e2', flow, 2)
+    ran = [effect.number for _, effect in desk.runs]
+    return judge(desk, ran and f'closed flow runs {ran}')
+
+
+def hand_over_flow(desk, closed=False):
+    """Let e1 run one request of a flow and hand the flow over to e2.
+
+    :returns: the flow, and what was handed over by whom.
+    """
     desk.start_entry('e1')
     desk.start_entry('e2')
     flow = desk.open('e1')
     desk.request('e1', flow, 1)
     desk.run_all()
+    if closed:
+        desk.send('e1', msg.Close('booking', flow.token))
     desk.pass_time(2)
     desk.engines['e1'].start_leaving(desk.now)
     desk.tick('e1')
-    ((name, effect),) = desk.hand_over()
-    desk.request('e2', flow, 2)
-    desk.run_all()
-    desk.deliver_records(name, effect)
-    desk.request('e2', flow, 1)
-    desk.request('e2', flow, 2)
-    desk.run_all()
-    return judge(desk)
+    return flow, desk.hand_over()
 
 
 def play_early_ack():
