Count the time that a datagram lay in the socket against its deadline

The kernel's stamp, read for shedding already, is now subtracted. Ruled out: an absolute deadline in the datagram, which would compare callers' clocks with ours. Time in the socket of a relaying instance is still not counted.

--- a/cornelgap/entry/engine.py
+++ b/cornelgap/entry/engine.py
@@ -132,8 +132,9 @@
         return taken, self.state.take_effects()
 
     def note_backlog(self, now, delay_s):
-        """Take in how long callers' datagrams wait before they are read."""
+        """Take in how long the datagrams that come next have waited."""
         self.state.shedder.note_backlog(now, delay_s)
+        self.state.waited_s = delay_s
 
     def start_leaving(self, now):
         """Begin a planned stop."""
--- a/cornelgap/entry/requests.py
+++ b/cornelgap/entry/requests.py
@@ -68,13 +68,16 @@
 
 def _admit_new(state, now, flow, req):
     service = state.cfg.services[flow.service]
+    # An instance that was paused finds datagrams that lay in its socket.
+    # Counted from now, a hold would run whose student has given up and
+    # believes it in doubt; so the time in the socket counts as well.
     allowed_ms = min(req.deadline_ms, service.deadline_ms)
     kept = Kept(
         number=req.number,
         payload=req.payload,
         idempotent=req.idempotent,
         long_job=req.long_job,
-        deadline=now + allowed_ms / 1000,
+        deadline=now + allowed_ms / 1000 - state.waited_s,
         arrived=now,
         answer=answers.Outgoing(credit=max(req.credit, 1)),
     )
--- a/cornelgap/entry/state.py
+++ b/cornelgap/entry/state.py
@@ -145,6 +145,7 @@
     :param waiting: (flow key, number) of requests that admission holds.
     :param leaving_targets: targets that must get no new work.
     :param incarnations: target's incarnation, learnt from its answers.
+    :param waited_s: how long the datagrams handled now lay in their socket.
     :param recent_opens: (time, service, target) of opens of the last
         seconds, which count as flows until their first use can show.
     :param moves: targets that flows of a target should move to, by name.
@@ -173,6 +174,7 @@
     incarnations: dict = field(default_factory=dict)
     effects: list = field(default_factory=list)
     counters: Counter = field(default_factory=Counter)
+    waited_s: float = 0
     shedder: Shedder = field(default_factory=Shedder)
     recent_opens: deque = field(default_factory=deque)
     moves: dict = field(default_factory=dict)
--- a/features/proof_traps.feature
+++ b/features/proof_traps.feature
@@ -261,6 +261,14 @@
     Then the proof checkers have no objection
     But they object once the guard "refusal-proof" is taken out
 
+  Scenario: A hold that lay in the socket of a sleeping home does not run late
+    An entry instance is frozen for a minute, with a hold in its socket.  The
+    student has long given up.  Were the deadline counted from the waking,
+    the aircraft would be booked for somebody who no longer wants it.
+    When the proof story "slept through" is played
+    Then the proof checkers have no objection
+    But they object once the guard "socket-time" is taken out
+
   @must-graceful-stop
   Scenario: A caller that misses its new token is told again
     An entry is replaced and the one datagram that tells an idle student's
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -210,6 +210,12 @@
     patches.set_attr(routing, 'verify_token', verify_token)
 
 
+def _ignore_socket_time(patches):
+    patches.set_attr(
+        engine.Engine, 'note_backlog', lambda self, now, delay_s: None
+    )
+
+
 def _never_tell_again(patches):
     patches.replace_function(handover.tell_again, lambda state, now: None)
 
@@ -455,6 +461,12 @@
         'a retiring key still verifies',
         _verify_with_signing,
     ),
+    Guard(
+        'socket-time',
+        6,
+        'time in the socket counts against the deadline',
+        _ignore_socket_time,
+    ),
     Guard(
         'tell-again',
         0,
--- a/features/proofs/stories.py
+++ b/features/proofs/stories.py
@@ -15,6 +15,9 @@
 from features.proofs import records as rec
 from features.proofs.hand import KEY, Desk, make_cfg, pick
 
+SLEPT_S = 60.0
+"""Longer than any deadline of a story."""
+
 SHED_TURNS = 400
 SHED_TURN_S = 0.1
 KEEP_S = 31.0
@@ -354,6 +357,17 @@
     return flow, desk.hand_over()
 
 
+def play_slept_through():
+    """A home sleeps while a hold lies in its socket past the deadline."""
+    desk = Desk()
+    desk.start_entry('e1')
+    flow = desk.open('e1')
+    desk.engines['e1'].note_backlog(desk.now, SLEPT_S)
+    desk.request('e1', flow, 1)
+    ran = [effect.number for _, effect in desk.runs]
+    return judge(desk, ran and f'runs {ran} after the deadline')
+
+
 def play_early_ack():
     """A caller acknowledges an answer before its call has ended."""
     desk = Desk()
