--- a/cornelgap/core/errors.py
+++ b/cornelgap/core/errors.py
@@ -35,11 +35,9 @@
     REQ_HOME_LOST = 'REQ-008'
     REQ_TOO_OLD = 'REQ-009'
     REQ_CANCELLED = 'REQ-010'
-    REQ_ANSWER_GONE = 'REQ-011'
     REQ_STOPPING = 'REQ-012'
     REQ_NO_CFG = 'REQ-013'
     REQ_BEHIND = 'REQ-014'
-    REQ_IN_PROGRESS = 'REQ-015'
     REQ_NEVER_SEEN = 'REQ-016'
     REQ_TARGET_FAILED = 'REQ-017'
     REQ_CALLER_SHARE = 'REQ-018'
@@ -74,9 +72,7 @@
     PLT_TOO_LARGE = 'PLT-004'
     PLT_CORRUPT = 'PLT-005'
     # Between entry instances.
-    NET_PEER_LOST = 'NET-001'
     NET_FORGED = 'NET-002'
-    NET_HOPS = 'NET-003'
     NET_ACTOR_CRASHED = 'NET-004'
 
 
--- a/cornelgap/core/meanings.py
+++ b/cornelgap/core/meanings.py
@@ -40,15 +40,12 @@
     'remembers; it may have run.',
     Code.REQ_CANCELLED: 'The caller cancelled the request; the verdict says '
     'whether it may have run.',
-    Code.REQ_ANSWER_GONE: 'The request has run, and its answer is no longer '
-    'kept.',
     Code.REQ_STOPPING: 'The entry is stopping and takes nothing new; send '
     'the datagram again.',
     Code.REQ_NO_CFG: 'The entry has no configuration yet; come back after '
     'the stated time, and look at the platform if it lasts.',
     Code.REQ_BEHIND: 'The entry has an older revision than the token; send '
     'the same datagram again.',
-    Code.REQ_IN_PROGRESS: 'The request is in progress; its answer follows.',
     Code.REQ_NEVER_SEEN: 'The home has not seen this request number; the '
     'same id may be sent.',
     Code.REQ_TARGET_FAILED: 'The target ended the request with a fault; the '
@@ -97,11 +94,8 @@
     Code.PLT_TOO_LARGE: 'A value is longer than the platform takes.',
     Code.PLT_CORRUPT: 'An object in the platform is missing or damaged; it '
     'is not adopted, and what is in force stays so.',
-    Code.NET_PEER_LOST: 'Another entry instance does not answer.',
     Code.NET_FORGED: 'A datagram between entries bears no valid seal; it '
     'was dropped.',
-    Code.NET_HOPS: 'A datagram was relayed more often than any path needs; '
-    'it was dropped.',
     Code.NET_ACTOR_CRASHED: 'A part of an entry instance failed; the log '
     'names it and what follows.',
 }
