Let requests go on past a live feed's number

The feed's number 1 counted as open, so the span of 128 numbers was used up and the flow stalled for its callers' deadline. Numbers that the home knows no longer count. Ruled out: admission and the links, since no datagram went out. The scenario stops at 128 of 300 without the change and does all 300 with it.

--- a/cornelgap/call/flow.py
+++ b/cornelgap/call/flow.py
@@ -277,7 +277,13 @@
     def _assign_number(self, item):
         if item.number:
             return True
-        lowest = min(self._by_number, default=self._number)
+        # What the home knows already keeps its id however far the window
+        # moves on.  Counting it too, a feed of an hour ago would hold back
+        # every refinement after the first 128.
+        unknown = (
+            number for number, it in self._by_number.items() if not it.known
+        )
+        lowest = min(unknown, default=self._number)
         if self._number - lowest >= NUMBER_SPAN:
             return False
         self._number += 1
--- a/features/caller.feature
+++ b/features/caller.feature
@@ -84,3 +84,12 @@
     Given a caller whose flow is not open
     When the open is refused with 200 ms to wait
     Then the caller opens again with the same nonce, not before 150 ms
+
+  Scenario: A live feed does not hold back the requests after it
+    An inventor's feed stays open for hours while refinements go down the
+    same flow. The feed's number falls far below the window of numbers; if
+    that held new ones back, the flow would stall after the first 128.
+
+    Given a caller flow whose feed is live
+    When the caller flow sends 300 requests and each is answered
+    Then all 300 requests of the caller flow are done
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -374,3 +374,46 @@
     assert opens and opens[0][0] >= 0.15
     assert {x.nonce for _, x in opens} == {context.flow.nonce}
     assert not context.events
+
+
+@given('a caller flow whose feed is live')
+def follow_live(context):
+    flow = CallerFlow('search', context.rng, 0.0)
+    for data in flow.tick(0.0).datagrams:
+        sent = decode_datagram(data)
+        opened = msg.Opened('search', sent.nonce, b'token', FLOW, 7)
+        flow.handle_datagram(0.0, encode_message(opened))
+    flow.start_feed(0.0, b'topic')
+    flow.tick(0.0)
+    event = msg.Event(FLOW, 7, 1, 0, b'first')
+    flow.handle_datagram(0.1, encode_message(event))
+    context.live_flow = flow
+
+
+@when('the caller flow sends {count:d} requests and each is answered')
+def send_many(context, count):
+    context.done = 0
+    context.subscribed = 0
+    for turn in range(count):
+        now = 1 + turn
+        context.live_flow.start_request(now, b'echo', 0.5)
+        for data in context.live_flow.tick(now).datagrams:
+            answer_request(context, now, decode_datagram(data))
+
+
+def answer_request(context, now, sent):
+    if isinstance(sent, msg.Subscribe):
+        context.subscribed += 1
+    if not isinstance(sent, msg.Request):
+        alive = msg.Progress(FLOW, 7, sent.number, 1)
+        context.live_flow.handle_datagram(now, encode_message(alive))
+        return
+    chunk = msg.Chunk(FLOW, 7, sent.number, 0, b'answer', last=True)
+    output = context.live_flow.handle_datagram(now, encode_message(chunk))
+    context.done += len(output.events)
+
+
+@then('all {count:d} requests of the caller flow are done')
+def check_all_done(context, count):
+    assert context.done == count, context.done
+    assert not context.subscribed, context.subscribed
