Ask one function whether a flow is quiet; drop two dead names

Formatter, linter and 79 scenarios (traps, matrix, whole path, refusals, administration, packets) green; the whole ./test was not run again at this commit.

--- a/cornelgap/entry/balance.py
+++ b/cornelgap/entry/balance.py
@@ -7,8 +7,7 @@
 old one is let go.
 """
 
-from collections import Counter
-
+from cornelgap.entry.lookups import is_quiet
 from cornelgap.entry.pins import is_usable, move_flow
 
 MOVES_EVERY_S = 0.25
@@ -75,17 +74,8 @@
     if not state.moves or flow.moved_to or flow.closed:
         return
     wanted = state.moves.get((flow.service, flow.target))
-    if not wanted or not _is_quiet(flow):
+    if not wanted or not is_quiet(flow):
         return
     to_target = wanted.pop()
     if is_usable(state, flow.service, to_target):
         move_flow(state, now, flow, to_target)
-
-
-def count_flows(state):
-    """Count the flows of each (service, target), for status."""
-    return Counter((flow.service, flow.target) for flow in state.flows.values())
-
-
-def _is_quiet(flow):
-    return all(kept.verdict for kept in (flow.kept or {}).values())
--- a/cornelgap/entry/engine.py
+++ b/cornelgap/entry/engine.py
@@ -17,6 +17,7 @@
     requests,
     routing,
 )
+from cornelgap.entry.lookups import is_quiet
 from cornelgap.entry.state import (
     EntryState,
     adopt_cfg,
@@ -237,7 +238,7 @@
         flow = state.flows.get(key)
         if flow is None:
             continue
-        if flow.expiry < now and not _is_busy(flow):
+        if flow.expiry < now and not flow.feeds and is_quiet(flow):
             _forget_flow(state, flow)
         else:
             balance.move_if_wanted(state, now, flow)
@@ -249,9 +250,3 @@
     placement = state.placements.get(flow.service)
     if placement is not None:
         placement.note_flow(flow.target, -1)
-
-
-def _is_busy(flow):
-    if flow.feeds:
-        return True
-    return any(kept.verdict is None for kept in (flow.kept or {}).values())
--- a/cornelgap/entry/handover.py
+++ b/cornelgap/entry/handover.py
@@ -17,7 +17,7 @@
 from cornelgap.core.window import decode_seen, encode_seen
 from cornelgap.entry import answers
 from cornelgap.entry.feeds import add_feed, end_feed
-from cornelgap.entry.lookups import find_target
+from cornelgap.entry.lookups import find_target, is_quiet
 from cornelgap.entry.pins import ensure_target
 from cornelgap.entry.replies import mint_flow_token, send_message
 from cornelgap.entry.state import (
@@ -83,7 +83,6 @@
     if state.leaving:
         return
     state.leaving = True
-    state.leaving_since = now
     state.handed_at = now
 
 
@@ -141,7 +140,7 @@
     for flow in state.flows.values():
         if len(records) >= BATCH_FLOWS or size >= BATCH_BYTES:
             break
-        if flow.moved_to or not _is_quiet(flow):
+        if flow.moved_to or not is_quiet(flow):
             continue
         if flow.service not in state.cfg.services:
             continue
@@ -156,10 +155,6 @@
     state.effects.append(HandOver(batch_id, peer, records))
 
 
-def _is_quiet(flow):
-    return all(kept.verdict for kept in (flow.kept or {}).values())
-
-
 def _build_record(state, now, flow, boot):
     flow_id, epoch = split_key(flow.key)
     host, port = flow.address
--- a/cornelgap/entry/lookups.py
+++ b/cornelgap/entry/lookups.py
@@ -9,6 +9,11 @@
     return found.targets.get(name) if found else None
 
 
+def is_quiet(flow):
+    """Say whether no request of a flow is open; feeds do not count."""
+    return all(kept.verdict for kept in (flow.kept or {}).values())
+
+
 def register_call(state, now, flow, number, target, feed=False):
     """Note a new call and count it for placement.
 
--- a/cornelgap/entry/state.py
+++ b/cornelgap/entry/state.py
@@ -186,7 +186,6 @@
     alive_sent: dict = field(default_factory=dict)
     next_call_id: int = 1
     leaving: bool = False
-    leaving_since: float = 0
     handed_at: float = 0
     batches: dict = field(default_factory=dict)
     next_batch_id: int = 1
