--- /dev/null
+++ b/cornelgap/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarded services: packets carried to targets that answer directly."""
--- /dev/null
+++ b/cornelgap/forwarding/directory.py
@@ -0,0 +1,268 @@
+"""Routes and targets as this instance knows them, with revision and age.
+
+The platform's store is the only source.  Facts arrive late, twice, or not
+at all; the directory keeps the newest of each and how old its knowledge
+is.  A reader gets an immutable :class:`View`, so a packet never sees half
+of a change.
+"""
+
+from dataclasses import dataclass, field
+
+REGISTRATION_RETURN_S = 2.5
+"""Time after an outage of the store during which a vanished registration
+may come back.  Targets re-register within about two seconds of the store's
+return (the platform's page on discovery); half a second is added for the
+way to us."""
+
+OUTAGE_S = 1.5
+"""Silence of the store after which vanished registrations may be due to the
+store.  Longer than the longest healthy wait for an answer (1 s watches),
+shorter than the three heartbeats after which a registration lapses."""
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Where new flows to one address and port may go.
+
+    :param shares: tuples (service, weight); weights are positive.
+    """
+
+    name: str
+    address: int
+    port: int
+    shares: tuple
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """One lifetime of a target.
+
+    :param identity: number by which the target recognises itself.
+    :param cookie: 32 bits by which packets name it.
+    :param address: tuple (host, port).
+    :param slots: requests that it serves at once.
+    :param cold_until: time until which it is slow, process clock seconds.
+    """
+
+    name: str
+    identity: int
+    cookie: int
+    service: str
+    address: tuple
+    zone: str
+    slots: int
+    draining: bool
+    cold_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """A consistent picture of the directory.
+
+    :param routes: route by (address, port).
+    :param dropped: places (address, port) of routes that were in force
+        earlier in this process and are not now.
+    :param by_cookie: target by cookie; None where two targets share it.
+    :param gone: targets without registration by cookie; None where another
+        target has taken the address.
+    :param by_service: targets for new flows, by service.
+    :param fallback: targets whose registration may come back, by service.
+    """
+
+    routes: dict = field(default_factory=dict)
+    dropped: frozenset = frozenset()
+    by_cookie: dict = field(default_factory=dict)
+    gone: dict = field(default_factory=dict)
+    by_service: dict = field(default_factory=dict)
+    fallback: dict = field(default_factory=dict)
+
+
+def make_cookie(identity):
+    """Fold a target's number into the 32 bits that packets carry.
+
+    Numbers of up to 32 bits stay distinct.  0 means "no target" on the
+    wire and is never returned.
+    """
+    folded = (identity ^ (identity >> 32)) & 0xFFFFFFFF
+    return folded or 0xFFFFFFFF
+
+
+@dataclass(slots=True)
+class _Vanished:
+    """A target without a registration.
+
+    :param gone_at: when it counts as gone, process clock seconds.
+    """
+
+    target: Target
+    gone_at: float
+
+
+class Directory:
+    """Collects facts and makes views of them.
+
+    Revisions are the store's; time is an argument, in seconds.
+    """
+
+    def __init__(self):
+        """Know nothing: neither a route nor a target."""
+        self.routes_revision = 0
+        self.targets_revision = 0
+        self.routes_as_of = None
+        self.targets_as_of = None
+        self._routes = {}
+        self._dropped = set()
+        self._targets = {}
+        self._seen_at = {}
+        self._vanished = {}
+        self._outage_until = 0.0
+
+    @property
+    def complete(self):
+        """Say whether both routes and targets have been learnt."""
+        return self.routes_as_of is not None and self.targets_as_of is not None
+
+    def adopt_routes(self, routes, revision, as_of):
+        """Put a whole configuration in force if it is newer.
+
+        :param routes: iterable of :class:`Route`.
+        :returns: whether anything changed.
+        """
+        self.confirm_routes(as_of)
+        if revision <= self.routes_revision:
+            # A list that a lagging replica served, or a watch that repeats
+            # itself, must not bring back what a later version dropped.
+            return False
+        self.routes_revision = revision
+        fresh = {(route.address, route.port): route for route in routes}
+        self._dropped |= self._routes.keys()
+        self._dropped -= fresh.keys()
+        self._routes = fresh
+        return True
+
+    def confirm_routes(self, as_of):
+        """Note that the known configuration was the newest at that time."""
+        self.routes_as_of = max(as_of, self.routes_as_of or as_of)
+
+    def adopt_targets(self, targets, revision, as_of, now):
+        """Replace all targets by a newer complete list.
+
+        :param targets: dict name -> (Target, revision of its entry).
+        :returns: whether anything changed.
+        """
+        self.confirm_targets(as_of, now)
+        if revision < self.targets_revision:
+            return False
+        self.targets_revision = revision
+        missing = self._targets.keys() - targets.keys()
+        changed = bool(missing)
+        for name in missing:
+            self._forget(name, now)
+        for name, (target, entry_revision) in targets.items():
+            changed |= self._put(name, target, entry_revision)
+        return changed
+
+    def apply_targets(self, changes, revision, as_of, now):
+        """Apply changes that follow the known revision, in order.
+
+        :param changes: tuples (name, Target or None, revision of entry).
+        :returns: whether anything changed.
+        """
+        self.confirm_targets(as_of, now)
+        changed = False
+        for name, target, entry_revision in changes:
+            if target is None:
+                changed |= self._remove(name, entry_revision, now)
+            else:
+                changed |= self._put(name, target, entry_revision)
+        self.targets_revision = max(revision, self.targets_revision)
+        return changed
+
+    def confirm_targets(self, as_of, now):
+        """Note that the known targets were the newest at that time."""
+        before = self.targets_as_of
+        if before is not None and as_of - before > OUTAGE_S:
+            self._outage_until = now + REGISTRATION_RETURN_S
+        self.targets_as_of = as_of if before is None else max(as_of, before)
+
+    def make_view(self, now):
+        """Make the picture that packets are handled by."""
+        by_cookie = {}
+        by_service = {}
+        fallback = {}
+        taken = {target.address for target in self._targets.values()}
+        gone = {}
+        for item in self._vanished.values():
+            target = item.target
+            if target.address in taken:
+                # A new lifetime at the same address proves the old one dead.
+                gone[target.cookie] = None
+                continue
+            if item.gone_at <= now:
+                gone[target.cookie] = target
+                continue
+            fallback.setdefault(target.service, []).append(target)
+            _add_cookie(by_cookie, target)
+        for target in self._targets.values():
+            _add_cookie(by_cookie, target)
+            if not target.draining:
+                by_service.setdefault(target.service, []).append(target)
+        return View(
+            routes=self._routes,
+            dropped=frozenset(self._dropped),
+            by_cookie=by_cookie,
+            gone=gone,
+            by_service=by_service,
+            fallback=fallback,
+        )
+
+    def next_change(self, now):
+        """Return when a vanished target turns gone, None if none does."""
+        times = [
+            item.gone_at
+            for item in self._vanished.values()
+            if item.gone_at > now
+        ]
+        return min(times, default=None)
+
+    def list_targets(self):
+        """Return dict name -> (Target, revision), to tell others."""
+        return {
+            name: (target, self._seen_at[name])
+            for name, target in self._targets.items()
+        }
+
+    def _put(self, name, target, revision):
+        if revision <= self._seen_at.get(name, 0):
+            return False
+        self._seen_at[name] = revision
+        self._vanished.pop(name, None)
+        known = self._targets.get(name)
+        self._targets[name] = target
+        return known != target
+
+    def _remove(self, name, revision, now):
+        if revision < self._seen_at.get(name, 0) or name not in self._targets:
+            return False
+        self._seen_at[name] = revision
+        self._forget(name, now)
+        return True
+
+    def _forget(self, name, now):
+        target = self._targets.pop(name)
+        gone_at = now
+        if not target.draining and now < self._outage_until:
+            # While the store was away the target could not renew its
+            # registration; it may be alive and hold flows.  Reset them and
+            # callers lose answers that were on their way.
+            gone_at = self._outage_until
+        self._vanished[name] = _Vanished(target, gone_at)
+
+
+def _add_cookie(by_cookie, target):
+    known = by_cookie.get(target.cookie, target)
+    if known is not None and known.identity != target.identity:
+        # Two targets behind one cookie: whichever is taken, some packet
+        # would reach a target that does not hold its flow.
+        known = None
+    by_cookie[target.cookie] = target if known is not None else None
--- /dev/null
+++ b/cornelgap/forwarding/engine.py
@@ -0,0 +1,211 @@
+"""What to do with a packet: forward, reset or drop; no socket, no clock.
+
+A packet of an open flow carries the cookie of its target, so every
+instance routes it alike without having seen the flow.  Only a SYN needs a
+choice.  Where this instance cannot know the right answer it stays silent:
+callers repeat, and the next instance, or this one a moment later, knows.
+"""
+
+from cornelgap.decisions.flow_health import FlowHealth, select_trusted
+from cornelgap.decisions.target_choice import Candidate, choose_target
+from cornelgap.forwarding import packets as pkt
+from cornelgap.forwarding.directory import View
+from cornelgap.forwarding.flows import FlowTable
+from cornelgap.forwarding.packets import Drop, Forward, Reason, Reset
+
+FRESH_S = 3.0
+"""Age of the directory up to which an unknown route is taken to be none.
+Operators are promised a change in force within three seconds."""
+
+ALIVE_S = 0.5
+"""A target that answered within this time is not reset away from, even if
+its registration is gone: it may be cut off from the store alone."""
+
+DISTRUST_S = 1.0
+"""Longest time without new flows after a standstill.  A store or peer that
+is in reach confirms within milliseconds; an instance that is cut off has to
+serve its zone on what it knows."""
+
+
+class Engine:
+    """Routes packets by a :class:`~cornelgap.forwarding.directory.View`.
+
+    :param zone: this instance's availability zone.
+    :param rng: generator for choices among equals.
+    """
+
+    def __init__(self, zone, rng):
+        """Start without routes and targets: every packet is dropped."""
+        self._zone = zone
+        self._rng = rng
+        self.view = View()
+        self.fresh_until = float('-inf')
+        self._distrusted_at = float('-inf')
+        self.flows = FlowTable()
+        self.health = FlowHealth()
+
+    def adopt_view(self, view):
+        """Use another picture of the directory from the next packet on."""
+        self.view = view
+        self.health.keep(view.by_cookie.keys())
+        self.flows.keep_loads(view.by_cookie.keys())
+
+    def note_fresh(self, as_of):
+        """Note when the directory was last known to be the newest."""
+        self.fresh_until = max(self.fresh_until, as_of + FRESH_S)
+        if as_of >= self._distrusted_at:
+            self._distrusted_at = float('-inf')
+
+    def distrust(self, now):
+        """Place no flow until the directory is confirmed after this time.
+
+        A process that stood still wakes with old beliefs: a target may have
+        begun to drain, a route may be dropped.  Open flows go on.
+        """
+        self._distrusted_at = now
+
+    def handle(self, packet, now, late=False):
+        """Decide on one packet.
+
+        :param late: whether the packet may have lain in the socket for long.
+        :returns: :class:`Forward`, :class:`Reset` or :class:`Drop`.
+        """
+        if not packet.flags & pkt.SYN:
+            return self._carry_on(packet, now)
+        if packet.flags & (pkt.ACK | pkt.RST | pkt.FIN):
+            # Only targets send SYN+ACK, and they send it to callers.
+            return Drop(Reason.FROM_TARGET)
+        if late or self._is_distrusted(now):
+            return Drop(Reason.STALE_OPEN)
+        return self._open_flow(packet, now)
+
+    def expire(self, now):
+        """Forget flows that were not seen lately."""
+        self.flows.expire(now)
+
+    def _is_distrusted(self, now):
+        return now - self._distrusted_at < DISTRUST_S
+
+    def _open_flow(self, packet, now):
+        route = self.view.routes.get(
+            (packet.destination, packet.destination_port)
+        )
+        if route is None:
+            if now > self.fresh_until:
+                return Drop(Reason.NOT_FRESH)
+            return Reset(packet.ack, Reason.NO_ROUTE)
+        known = self.flows.find(packet.flow)
+        tried = self._note_copy(packet, known, now)
+        service = choose_service(route, packet)
+        target = self._place(service, tried, now)
+        if target is None:
+            if now > self.fresh_until:
+                return Drop(Reason.NOT_FRESH)
+            return Reset(packet.ack, Reason.NO_TARGET)
+        self.flows.note_open(packet.flow, target.cookie, now)
+        return Forward(target, Reason.MOVED_ON if tried else Reason.PLACED)
+
+    def _note_copy(self, packet, known, now):
+        """Return the cookies of targets that did not answer this SYN."""
+        if known is None or known.pinned or not packet.ack:
+            return ()
+        self.health.note_repeat(known.cookie, now)
+        return (*known.tried, known.cookie)
+
+    def _place(self, service, tried, now):
+        targets = self.view.by_service.get(service)
+        if not targets:
+            targets = self.view.fallback.get(service, ())
+        usable = [
+            target
+            for target in targets
+            if self.view.by_cookie.get(target.cookie) is not None
+        ]
+        usable = select_trusted(
+            usable, lambda item: self.health.is_avoided(item.cookie, now)
+        )
+        # A target that did not answer the first SYN is full or unreachable;
+        # the copy opens elsewhere while its caller still waits.
+        untried = [item for item in usable if item.cookie not in tried]
+        candidates = [
+            self._weigh(target, now) for target in (untried or usable)
+        ]
+        return choose_target(candidates, 1.0, self._rng)
+
+    def _weigh(self, target, now):
+        load = self.flows.get_load(target.cookie)
+        return Candidate(
+            target,
+            load.flows,
+            load.waiting,
+            near=target.zone == self._zone,
+            cold=now < target.cold_until,
+        )
+
+    def _carry_on(self, packet, now):
+        known = self.flows.find(packet.flow)
+        cookie = packet.cookie
+        if known is not None and known.pinned:
+            # Two targets may answer two copies of a SYN.  The caller
+            # acknowledges the first and carries the cookie of the last;
+            # the flow is open where the first acknowledgement went.
+            cookie = known.cookie
+        if not cookie:
+            return Drop(Reason.NO_COOKIE)
+        place = (packet.destination, packet.destination_port)
+        if place in self.view.dropped:
+            return Reset(packet.ack, Reason.ROUTE_DROPPED)
+        target = self.view.by_cookie.get(cookie)
+        if target is None:
+            return self._refuse(packet, cookie, known, now)
+        self._note_packet(packet, cookie, known, now)
+        return Forward(target, Reason.KNOWN)
+
+    def _refuse(self, packet, cookie, known, now):
+        if cookie in self.view.by_cookie:
+            return Drop(Reason.AMBIGUOUS_COOKIE)
+        if cookie not in self.view.gone:
+            # We may be behind: another instance may know this target.  A
+            # reset would break an open flow, a guess would break two.
+            return Drop(Reason.UNKNOWN_TARGET)
+        if packet.flags & pkt.RST:
+            return Drop(Reason.TARGET_GONE)
+        target = self.view.gone[cookie]
+        answered_at = self.flows.get_load(cookie).answered_at
+        if target is not None and now - answered_at < ALIVE_S:
+            # It answers, so only its registration is lost: a target that is
+            # cut off from the store alone still serves its flows.
+            self._note_packet(packet, cookie, known, now)
+            return Forward(target, Reason.KNOWN)
+        return Reset(packet.ack, Reason.TARGET_GONE)
+
+    def _note_packet(self, packet, cookie, known, now):
+        repeated = (
+            known is not None
+            and packet.size
+            and known.sent == packet.seq + packet.size
+            and known.acked == packet.ack
+        )
+        if repeated:
+            self.health.note_repeat(cookie, now)
+        elif known is None or known.acked != packet.ack or not known.pinned:
+            self.health.note_answer(cookie, now)
+        closing = bool(packet.flags & (pkt.FIN | pkt.RST))
+        self.flows.note_packet(packet.flow, packet, cookie, closing, now)
+
+
+def choose_service(route, packet):
+    """Choose the service of a new flow by the route's weights.
+
+    All copies of one SYN get the same service, on any instance: the choice
+    depends on the flow's addresses alone.
+    """
+    if len(route.shares) == 1:
+        return route.shares[0][0]
+    total = sum(weight for _, weight in route.shares)
+    point = hash(packet.flow) % total
+    for service, weight in route.shares:
+        point -= weight
+        if point < 0:
+            return service
+    raise ValueError('a route needs positive weights')
--- /dev/null
+++ b/cornelgap/forwarding/facts.py
@@ -0,0 +1,50 @@
+"""Messages about the directory, and the clock that ages are told by."""
+
+import time
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RoutesKnown:
+    """Message: the configuration as of some moment.
+
+    :param routes: list of routes; None if it is the one already known.
+    :param as_of: time at which this was the newest, process clock seconds.
+    """
+
+    routes: list | None
+    revision: int
+    as_of: float
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsListed:
+    """Message: all targets as of some moment.
+
+    :param targets: dict name -> (target, revision of its entry).
+    """
+
+    targets: dict
+    revision: int
+    as_of: float
+
+
+@dataclass(frozen=True, slots=True)
+class TargetsChanged:
+    """Message: what has changed since the last message, perhaps nothing.
+
+    :param changes: tuples (name, target or None, revision of its entry).
+    """
+
+    changes: tuple
+    revision: int
+    as_of: float
+
+
+def read_clock():
+    """Return the process clock in seconds.
+
+    A suspended machine's monotonic clock stands still, and what the
+    process knew would look fresh when it wakes; this clock goes on.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- /dev/null
+++ b/cornelgap/forwarding/flows.py
@@ -0,0 +1,171 @@
+"""The flows that pass through this instance: what they say of targets.
+
+Targets answer callers directly, so an instance sees one direction only.
+That is enough to tell how many flows are active on a target, how many wait
+for an answer, and whether a target answers at all: an answer shows in the
+caller's next acknowledgement.  Routing does not depend on this table; it
+may be lost at any time.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+ACTIVE_S = 5.0
+"""A flow that sent nothing for so long counts as idle here.  Callers of
+long flows send about one request a second; a flow whose packets now pass
+through another instance leaves the count after this time."""
+
+MAX_FLOWS = 65536
+"""Flows kept, the least recently seen leave first: about 25 MB at most."""
+
+
+@dataclass(slots=True)
+class Flow:
+    """One flow as seen here.
+
+    :param cookie: target that it is on, or was last placed on.
+    :param tried: cookies of targets that its SYNs were sent to before.
+    :param pinned: whether the caller has acknowledged a target's SYN+ACK.
+    :param sent: next sequence number after the caller's data.
+    :param acked: the caller's last acknowledgement.
+    :param waiting_since: when the unanswered request was sent; 0 if none.
+    """
+
+    cookie: int
+    opened_at: float
+    seen_at: float
+    tried: tuple = ()
+    pinned: bool = False
+    sent: int = 0
+    acked: int = 0
+    waiting_since: float = 0.0
+    closed: bool = False
+
+
+@dataclass(slots=True)
+class Load:
+    """Work on one target as seen by this instance.
+
+    :param flows: open flows that were active lately.
+    :param waiting: flows that wait for an answer.
+    :param answered_at: when an answer of the target last showed.
+    """
+
+    flows: int = 0
+    waiting: int = 0
+    answered_at: float = 0.0
+
+
+class FlowTable:
+    """Recently seen flows, and the load on targets that follows from them."""
+
+    def __init__(self):
+        """Know no flow."""
+        self._flows = OrderedDict()
+        self.loads = {}
+
+    def __len__(self):
+        """Return the number of flows kept."""
+        return len(self._flows)
+
+    def find(self, key):
+        """Return the flow of a key, or None."""
+        return self._flows.get(key)
+
+    def get_load(self, cookie):
+        """Return the load of a target; an empty one if nothing is known."""
+        load = self.loads.get(cookie)
+        if load is None:
+            load = self.loads[cookie] = Load()
+        return load
+
+    def note_open(self, key, cookie, now):
+        """Note that a SYN was sent to a target."""
+        flow = self._flows.get(key)
+        if flow is None:
+            flow = self._add(key, cookie, now)
+            return flow
+        if flow.cookie != cookie:
+            flow.tried = (*flow.tried, flow.cookie)
+            self._move(flow, cookie)
+        self._touch(key, flow, now)
+        return flow
+
+    def note_packet(self, key, packet, cookie, closing, now):
+        """Note a packet on an open flow.
+
+        :param closing: whether it ends the flow.
+        """
+        flow = self._flows.get(key)
+        if flow is None:
+            flow = self._add(key, cookie, now)
+            flow.acked = packet.ack
+        elif not flow.pinned and flow.cookie != cookie:
+            self._move(flow, cookie)
+        self._note_progress(flow, packet, now)
+        flow.pinned = True
+        self._touch(key, flow, now)
+        if closing and not flow.closed:
+            self._leave(flow)
+            flow.closed = True
+        return flow
+
+    def expire(self, now):
+        """Drop flows that were not seen lately."""
+        oldest = now - ACTIVE_S
+        while self._flows:
+            key = next(iter(self._flows))
+            if self._flows[key].seen_at >= oldest:
+                return
+            self._drop(key)
+
+    def keep_loads(self, cookies):
+        """Forget idle targets that are not among these."""
+        for cookie in self.loads.keys() - cookies:
+            if not self.loads[cookie].flows:
+                self.loads.pop(cookie)
+
+    def _add(self, key, cookie, now):
+        if len(self._flows) >= MAX_FLOWS:
+            self._drop(next(iter(self._flows)))
+        flow = Flow(cookie, now, now)
+        self._flows[key] = flow
+        self.get_load(cookie).flows += 1
+        return flow
+
+    def _touch(self, key, flow, now):
+        flow.seen_at = now
+        self._flows.move_to_end(key)
+
+    def _note_progress(self, flow, packet, now):
+        load = self.get_load(flow.cookie)
+        if flow.acked != packet.ack or not flow.pinned:
+            flow.acked = packet.ack
+            load.answered_at = now
+            self._end_wait(flow, load)
+        if packet.size:
+            flow.sent = packet.seq + packet.size
+            if not flow.waiting_since and not flow.closed:
+                flow.waiting_since = now
+                load.waiting += 1
+
+    def _end_wait(self, flow, load):
+        if flow.waiting_since:
+            flow.waiting_since = 0.0
+            load.waiting -= 1
+
+    def _move(self, flow, cookie):
+        if not flow.closed:
+            self._leave(flow)
+            self.get_load(cookie).flows += 1
+        flow.cookie = cookie
+
+    def _leave(self, flow):
+        load = self.get_load(flow.cookie)
+        self._end_wait(flow, load)
+        load.flows -= 1
+
+    def _drop(self, key):
+        flow = self._flows.pop(key)
+        if not flow.closed:
+            self._leave(flow)
--- /dev/null
+++ b/cornelgap/forwarding/follower.py
@@ -0,0 +1,108 @@
+"""The actor that follows one kind of facts at the store.
+
+It owns the connection and blocks on it, so it does nothing else.  It lists
+once, then waits for changes, and tells the directory what it heard and as
+of when.  A connection that has gone silent, a history that is gone and a
+store that refuses all end in a new list.
+"""
+
+import logging
+from dataclasses import dataclass
+
+from cornelgap.core.errors import CodedError
+from cornelgap.kernel.names import tell_service
+from cornelgap.kernel.service import Service
+
+WAIT_S = 1.0
+"""Longest wait for a change.  An answered wait is the only proof that the
+connection still hears the store; a change must be in force everywhere
+within three seconds, of which a silent connection costs this wait, its
+time-out of one second and a list."""
+
+RETRY_S = 0.3
+"""Pause after a failed call; with jitter of half of it either way, so that
+instances do not come back to a restarted store in one moment."""
+
+_LOG = logging.getLogger('cornelgap.follower')
+
+
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """Message: begin or stop to follow."""
+
+    active: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Turn:
+    """Message to itself: make the next call."""
+
+
+class Follower(Service):
+    """Follows one source.
+
+    :param source: offers ``list_facts()`` and ``watch_facts(wait_s)``, both
+        giving a message for the directory, and ``close()``.
+    :param receiver: name of the service that is told.
+    :param pause: function that sleeps for some seconds.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, scope, name, source, receiver, rng, pause):
+        """Wait for :class:`Follow`."""
+        super().__init__(scope, name)
+        self._source = source
+        self._receiver = receiver
+        self._rng = rng
+        self._pause = pause
+        self._active = False
+        self._listed = False
+        self._failing = False
+        self.handlers = {Follow: self._follow, _Turn: self._turn}
+
+    def end(self):
+        """Close the connection."""
+        self._source.close()
+
+    def _follow(self, message):
+        if message.active and not self._active:
+            self._listed = False
+            self.actor_ref.tell(_Turn())
+        if self._active and not message.active:
+            self._source.close()
+        self._active = message.active
+
+    def _turn(self, _message):
+        if not self._active:
+            return
+        try:
+            self._call()
+        except CodedError as exc:
+            self._note_failure(exc)
+            self._pause(RETRY_S * (0.5 + self._rng.random()))
+        self.actor_ref.tell(_Turn())
+
+    def _call(self):
+        if self._listed:
+            fact = self._source.watch_facts(WAIT_S)
+        else:
+            fact = self._source.list_facts()
+        self._listed = True
+        if self._failing:
+            self._failing = False
+            _LOG.info('follower: store is back', extra={'kind': self.name})
+        tell_service(self.scope, self._receiver, fact)
+
+    def _note_failure(self, exc):
+        self._listed = False
+        if not self._failing:
+            self._failing = True
+            _LOG.warning(
+                'follower: store lost',
+                extra={
+                    'kind': self.name,
+                    'code': str(exc.code),
+                    'error': exc.text,
+                },
+            )
--- /dev/null
+++ b/cornelgap/forwarding/packet_actor.py
@@ -0,0 +1,181 @@
+"""The packet actor of forwarded services: owns the socket and the engine.
+
+Everything that concerns a packet happens in one turn of this actor.
+"""
+
+import logging
+import socket
+from collections import Counter
+from dataclasses import dataclass
+
+from cornelgap.core.errors import CodedError
+from cornelgap.forwarding.facts import read_clock
+from cornelgap.forwarding.packets import Drop, Forward
+from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
+from cornelgap.kernel.service import Service
+
+FORWARDING = 'forwarding'
+TICK_S = 0.25
+
+WAKE_S = 0.75
+"""A turn that begins so long after the last one means that the process
+stood still: its tick is due every quarter of a second."""
+
+READ_BATCH = 256
+DATAGRAM_BYTES = 2048
+RECEIVE_BUFFER = 1024 * 1024
+_LOG = logging.getLogger('cornelgap.forwarding')
+
+
+@dataclass(frozen=True, slots=True)
+class AdoptView:
+    """Message: use this picture of the directory.
+
+    :param view: None if the last one still holds.
+    :param as_of: time at which it was the newest, process clock seconds.
+    """
+
+    view: object
+    as_of: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadCounts:
+    """Message: give counts and the time of the last packet; asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class Codec:
+    """How packets lie on the wire.
+
+    :param decode: bytes to packet; raises :class:`CodedError`.
+    :param encode_forward: packet and target to the datagram for the target.
+    :param encode_reset: packet and sequence number to a reset.
+    :param format_ip: number to text.
+    """
+
+    decode: object
+    encode_forward: object
+    encode_reset: object
+    format_ip: object
+
+
+class PacketActor(Service):
+    """Forwards packets.
+
+    :param engine: :class:`cornelgap.forwarding.engine.Engine`.
+    :param address: tuple (host, port) to listen on; callers get packets at
+        the same port of their own.
+    """
+
+    def __init__(self, scope, engine, codec, address):
+        """Open the socket."""
+        super().__init__(scope, FORWARDING)
+        self._engine = engine
+        self._codec = codec
+        self._port = address[1]
+        self._sock = _open_socket(address)
+        self._turn_at = read_clock()
+        self._packet_at = self._turn_at
+        self._woken = False
+        self.counts = Counter()
+        self.actor_inbox.add_socket(self._sock)
+        self.handlers = {
+            AdoptView: self._adopt_view,
+            Readable: self._read,
+            ReadCounts: self._give_counts,
+            Tick: self._tick,
+        }
+
+    @staticmethod
+    def _create_actor_inbox():
+        return SocketInbox(read_clock, TICK_S)
+
+    def on_receive(self, message):
+        """Notice a standstill, then handle the message."""
+        now = read_clock()
+        if now - self._turn_at > WAKE_S:
+            self._wake(now)
+        self._turn_at = now
+        return super().on_receive(message)
+
+    def end(self):
+        """Close the socket."""
+        self._sock.close()
+
+    def _wake(self, now):
+        _LOG.warning(
+            'forwarding: process stood still',
+            extra={'for_s': round(now - self._turn_at, 3)},
+        )
+        self._woken = True
+        self._engine.distrust(now)
+
+    def _adopt_view(self, message):
+        if message.view is not None:
+            self._engine.adopt_view(message.view)
+        self._engine.note_fresh(message.as_of)
+
+    def _read(self, _message):
+        for _ in range(READ_BATCH):
+            try:
+                raw = self._sock.recv(DATAGRAM_BYTES)
+            except BlockingIOError:
+                self._woken = False
+                return
+            except OSError as exc:
+                # An ICMP error of an earlier send is told here; the socket
+                # itself is fine.
+                self.counts[f'socket_{exc.errno}'] += 1
+                continue
+            self._handle(raw)
+
+    def _handle(self, raw):
+        now = self._turn_at
+        self._packet_at = now
+        try:
+            packet = self._codec.decode(raw)
+        except CodedError as exc:
+            self.counts[str(exc.code)] += 1
+            return
+        effect = self._engine.handle(packet, now, self._woken)
+        self.counts[effect.reason] += 1
+        if isinstance(effect, Drop):
+            return
+        if isinstance(effect, Forward):
+            target = effect.target
+            datagram = self._codec.encode_forward(packet, target)
+            self._send(datagram, target.address)
+            return
+        datagram = self._codec.encode_reset(packet, effect.seq)
+        caller = (self._codec.format_ip(packet.source), self._port)
+        self._send(datagram, caller)
+        _LOG.info(
+            'forwarding: flow reset',
+            extra={
+                'flow': packet.flow,
+                'why': effect.reason,
+                'cookie': packet.cookie,
+            },
+        )
+
+    def _send(self, datagram, address):
+        try:
+            self._sock.sendto(datagram, address)
+        except OSError as exc:
+            # The network is full or gone; the caller repeats.
+            self.counts[f'unsent_{exc.errno}'] += 1
+
+    def _tick(self, _message):
+        self._engine.expire(self._turn_at)
+
+    def _give_counts(self, _message):
+        return dict(self.counts), self._packet_at
+
+
+def _open_socket(address):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
+    sock.bind(address)
+    sock.setblocking(False)
+    return sock
--- a/cornelgap/kernel/logs.py
+++ b/cornelgap/kernel/logs.py
@@ -18,11 +18,16 @@
 PARTS = (
     'admin',
     'cfg',
+    'directory',
     'entry',
+    'follower',
+    'forwarding',
     'instances',
     'links',
     'loops',
     'metrics',
+    'node',
+    'ready',
     'supervision',
     'tls',
 )
--- /dev/null
+++ b/cornelgap/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls; nothing is decided here."""
--- /dev/null
+++ b/cornelgap/platform/role.py
@@ -0,0 +1,117 @@
+"""The program that runs on the platform's machines."""
+
+import logging
+import os
+import random
+import signal
+import sys
+import threading
+import time
+
+from cornelgap.forwarding.directory_actor import DIRECTORY, DirectoryActor
+from cornelgap.forwarding.engine import Engine
+from cornelgap.forwarding.facts import read_clock
+from cornelgap.forwarding.follower import Follow, Follower
+from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
+from cornelgap.kernel.logs import configure_logs
+from cornelgap.platform import layout
+from cornelgap.platform.readiness import make_server
+from cornelgap.platform.settings import VARIABLE, load_node_settings
+from cornelgap.platform.sources import RoutesSource, TargetsSource
+
+EXIT_SETTINGS = 2
+ROUTERS_S = 1.3
+"""Time in which routers notice that an instance is not ready: two missed
+questions, half a second apart, and some way."""
+
+QUIET_S = 0.4
+"""Time without a packet after which routers have surely let go."""
+
+SPARE_S = 1.0
+"""Left of the grace period when the process ends by itself."""
+
+CODEC = Codec(
+    layout.decode_packet,
+    layout.encode_forward,
+    layout.encode_reset,
+    layout.format_ip,
+)
+_LOG = logging.getLogger('cornelgap.node')
+
+
+class Node:
+    """The tasks of one instance, started and stopped in order."""
+
+    def __init__(self, settings):
+        """Prepare; nothing runs before :meth:`start`."""
+        self.settings = settings
+        self.complete = threading.Event()
+        self.leaving = threading.Event()
+        self._packets = None
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Build the node of one process."""
+        return cls(settings)
+
+    def is_ready(self):
+        """Say whether routers should send packets."""
+        return self.complete.is_set() and not self.leaving.is_set()
+
+    def start(self):
+        """Start all tasks."""
+        settings = self.settings
+        rng = random.Random()
+        engine = Engine(settings.zone, rng)
+        name = settings.name
+        self._packets = PacketActor.start(
+            name, engine, CODEC, settings.packets
+        )
+        DirectoryActor.start(name, self.complete.set)
+        for kind, source in (
+            ('routes', RoutesSource.from_settings(settings)),
+            ('targets', TargetsSource.from_settings(settings)),
+        ):
+            follower = Follower.start(
+                name, kind, source, DIRECTORY, rng, time.sleep
+            )
+            follower.tell(Follow(active=True))
+        server = make_server(settings.ready, self.is_ready)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+
+    def leave(self):
+        """Forward until routers have let go; returns when that is so."""
+        began = read_clock()
+        last = began + self.settings.grace_s - SPARE_S
+        time.sleep(ROUTERS_S)
+        while read_clock() < last:
+            _, packet_at = self._packets.ask(ReadCounts())
+            if read_clock() - packet_at > QUIET_S:
+                return
+            time.sleep(QUIET_S / 4)
+
+
+def main():
+    """Run one instance until SIGTERM."""
+    settings, errors = load_node_settings(os.environ.get(VARIABLE, ''))
+    for exc in errors:
+        print(exc, file=sys.stderr)
+    if errors:
+        sys.exit(EXIT_SETTINGS)
+    configure_logs({}, settings.name, sys.stdout)
+    node = Node.from_settings(settings)
+    signal.signal(signal.SIGTERM, lambda *_: node.leaving.set())
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    node.start()
+    _LOG.info('node: started', extra={'zone': settings.zone})
+    node.leaving.wait()
+    _LOG.info('node: leaving')
+    node.leave()
+    _LOG.info('node: ended')
+    sys.stdout.flush()
+    # Actors may still wait for the store; nothing of theirs must be kept.
+    os._exit(0)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/cornelgap/platform/store.py
@@ -0,0 +1,182 @@
+"""Client of the platform's store: one connection, one call at a time.
+
+It translates calls and answers and keeps no facts.  Every call has a
+time-out of its own: a connection may go silent for good, and the store
+then never closes it.
+"""
+
+import http.client
+import json
+from dataclasses import dataclass
+from urllib.parse import quote, urlencode
+
+from cornelgap.core.errors import Code, CodedError
+
+PATH = '/-/objects/'
+CALL_S = 1.0
+"""Longest wait for a short answer, seconds.  A healthy answer takes 4 ms, a
+slow store's 0.25 s."""
+
+MAX_PAGES = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All objects of a kind at one revision.
+
+    :param objects: list of the store's objects, as decoded JSON.
+    """
+
+    objects: list
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Events:
+    """What has changed since a revision.
+
+    :param events: list of tuples (object, deleted).
+    """
+
+    events: list
+    revision: int
+
+
+class StoreError(CodedError):
+    """A call that brought no result.
+
+    :param answered: whether the store refused; if not, nobody knows
+        whether the call was carried out.
+    """
+
+    def __init__(self, text, answered, code=Code.PLT_DOWN):
+        """Keep whether the store has answered."""
+        super().__init__(code, text, 'store')
+        self.answered = answered
+
+
+class HistoryGone(StoreError):
+    """The revision to watch from is no longer in the store's history."""
+
+
+class Conflict(StoreError):
+    """A conditional write met another revision.
+
+    :param current: the object as it is, or None if the answer had none.
+    """
+
+    def __init__(self, text, current):
+        """Keep the object that stood in the way."""
+        super().__init__(text, answered=True, code=Code.PLT_CONFLICT)
+        self.current = current
+
+
+class StoreClient:
+    """Calls of the store over one connection, which is reopened on demand.
+
+    :param address: tuple (host, port).
+    """
+
+    def __init__(self, address):
+        """Open nothing yet."""
+        self._address = address
+        self._conn = None
+        self.calls = 0
+
+    @classmethod
+    def from_settings(cls, settings):
+        """Make a client of the store that the settings name."""
+        return cls(settings.store)
+
+    def list_objects(self, kind):
+        """List all objects of a kind, however many pages that takes.
+
+        :raises StoreError: if a page brought no answer.
+        """
+        objects = []
+        query = {}
+        first_revision = None
+        for _ in range(MAX_PAGES):
+            body = self._call('GET', kind, query)
+            page = body.get('items') or []
+            objects += page
+            if first_revision is None:
+                # Later pages may be newer; watching from the first page's
+                # revision repeats a change rather than missing one.
+                first_revision = body['store_revision']
+            if not body.get('more') or not page:
+                return Listing(objects, first_revision)
+            query = {'after': page[-1]['meta']['name']}
+        raise StoreError('the listing does not end', answered=True)
+
+    def watch_objects(self, kind, revision, wait_s):
+        """Wait for changes after a revision.
+
+        :raises HistoryGone: if the store has dropped that history.
+        :raises StoreError: if no answer came in time.
+        """
+        query = {'watch': revision, 'wait_ms': int(wait_s * 1000)}
+        body = self._call('GET', kind, query, wait_s + CALL_S)
+        events = [
+            (event['object'], bool(event.get('deleted')))
+            for event in body.get('events') or ()
+        ]
+        return Events(events, body['store_revision'])
+
+    def create_object(self, kind, name, spec):
+        """Create an object.
+
+        :raises Conflict: if there is one of this name.
+        """
+        body = {'meta': {'name': name}, 'spec': spec}
+        return self._call('POST', kind, {}, body=body)
+
+    def replace_object(self, kind, name, spec, revision):
+        """Replace an object if it still has the revision.
+
+        :raises Conflict: if it has another one.
+        """
+        body = {'meta': {'name': name, 'revision': revision}, 'spec': spec}
+        return self._call('PUT', f'{kind}/{quote(name)}', {}, body=body)
+
+    def close(self):
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    def _call(self, method, place, query, timeout=CALL_S, body=None):
+        self.calls += 1
+        path = PATH + place
+        if query:
+            path = f'{path}?{urlencode(query)}'
+        try:
+            status, content = self._exchange(method, path, timeout, body)
+        except (OSError, http.client.HTTPException, ValueError) as exc:
+            self.close()
+            raise StoreError(repr(exc), answered=False) from exc
+        if status in {200, 201}:
+            return content
+        raise _make_error(status, content)
+
+    def _exchange(self, method, path, timeout, body):
+        if self._conn is None:
+            self._conn = http.client.HTTPConnection(*self._address)
+        conn = self._conn
+        conn.timeout = timeout
+        if conn.sock is not None:
+            conn.sock.settimeout(timeout)
+        text = None if body is None else json.dumps(body)
+        headers = {} if body is None else {'Content-Type': 'application/json'}
+        conn.request(method, path, text, headers)
+        answer = conn.getresponse()
+        content = answer.read()
+        return answer.status, json.loads(content) if content else {}
+
+
+def _make_error(status, content):
+    if status == 410:
+        return HistoryGone('history gone', answered=True)
+    if status == 409:
+        return Conflict('another revision', content or None)
+    return StoreError(f'status {status}', answered=True)
