--- a/cornelgap/decisions/target_choice.py
+++ b/cornelgap/decisions/target_choice.py
@@ -20,7 +20,7 @@
 """A target that has just started works this much slower (the users' sheets:
 1.6 times for two seconds)."""
 
-FAR_FLOWS = 1.0
+FAR_FLOWS = 1000.0
 """Flows a slot by which a target of another availability zone must be less
 loaded to be taken: bytes between zones cost, a queue costs callers more."""
 
