--- a/cornelgap/decisions/fanout.py
+++ b/cornelgap/decisions/fanout.py
@@ -23,8 +23,12 @@
     :param names: instances of the zone that are alive.
     :returns: set of at most ``count`` names.
     """
-    ranked = sorted(names, key=lambda name: _rank_name(zone, name))
-    return set(ranked[:count])
+    return set(rank_names(zone, names)[:count])
+
+
+def rank_names(zone, names):
+    """Return names in the order in which they become watchers."""
+    return sorted(names, key=lambda name: _rank_name(zone, name))
 
 
 def is_watcher(own, zone, instances):
--- /dev/null
+++ b/cornelgap/decisions/following.py
@@ -0,0 +1,83 @@
+"""Who follows the store, and when somebody else takes over.
+
+Load pattern: every instance must know of a change within seconds, yet each
+call of the store is paid for and its rates grow more slowly than the
+fleet.  A watch per instance costs calls by instances times seconds.  So the
+first instance of each availability zone, by rendezvous rank, follows the
+store and tells the others.
+
+What can go wrong: the one that follows dies, stands still, is cut off, or
+its connection has gone silent without an error.  It cannot know the last
+one itself.  Therefore nobody trusts the follower to be alive; each instance
+looks at the age of what it knows, whoever told it, and follows the store
+itself once that is too old.  Ranks wait a little for each other, so that
+one of them takes over and not all at once.
+"""
+
+from dataclasses import dataclass
+
+STALE_SLACK_S = 0.5
+"""Age above the longest wait of a watch at which facts are too old: an
+answer of a slow store (0.25 s) and a lost datagram do not matter yet."""
+
+STAGGER_S = 0.15
+"""Further age for each rank.  One list takes 10 ms and is told at once."""
+
+LONGEST_STAGGER_S = 0.6
+"""Bound of the sum, so that a change is in force in time even if all
+instances of lower rank are gone: wait 1 s + 0.5 s + 0.6 s + a list stays
+below the three seconds that operators are promised."""
+
+STAND_DOWN_S = 1.0
+"""Time for which another must have followed before this one stops."""
+
+
+def compute_wait(bound_s):
+    """Return the longest wait of a watch, seconds.
+
+    :param bound_s: time in which a change must be in force.
+    """
+    return max(0.5, min(bound_s / 3, 5.0))
+
+
+@dataclass(slots=True)
+class Following:
+    """Whether this instance follows the store.
+
+    :param wait_s: longest wait of a watch, seconds.
+    :param active: whether it follows now; it does at its start, since
+        nobody can be asked yet.
+    """
+
+    wait_s: float
+    active: bool = True
+    relieved_since: float | None = None
+
+    def decide(self, now, rank, age_s, other_follows):
+        """Return whether to follow from now on.
+
+        :param rank: instances of the zone before this one that are alive.
+        :param age_s: age of the oldest of the facts, seconds.
+        :param other_follows: whether one of a lower rank is known to follow
+            and has fresh facts.
+        """
+        if rank == 0 or not other_follows:
+            self.relieved_since = None
+        elif self.relieved_since is None:
+            self.relieved_since = now
+        if self.active:
+            relieved = self.relieved_since
+            if relieved is not None and now - relieved >= STAND_DOWN_S:
+                self.active = False
+        elif rank == 0 or age_s > self.compute_limit(rank):
+            self.active = True
+        return self.active
+
+    def compute_limit(self, rank):
+        """Return the age, seconds, above which a rank takes over."""
+        stagger = min(STAGGER_S * max(0, rank - 1), LONGEST_STAGGER_S)
+        return self.wait_s + STALE_SLACK_S + stagger
+
+    def is_fresh(self, age_s):
+        """Say whether facts of this age are as fresh as a follower's."""
+        return age_s <= self.wait_s + STALE_SLACK_S
--- a/cornelgap/decisions/target_choice.py
+++ b/cornelgap/decisions/target_choice.py
@@ -20,9 +20,12 @@
 """A target that has just started works this much slower (the users' sheets:
 1.6 times for two seconds)."""
 
-FAR_FLOWS = 1000.0
-"""Flows a slot by which a target of another availability zone must be less
-loaded to be taken: bytes between zones cost, a queue costs callers more."""
+FAR_FACTOR = 1.25
+FAR_FLOWS = 1.0
+"""A target of another availability zone looks this much more loaded, in
+flows a slot.  When a zone is cut off, its callers lose the flows that they
+have beyond the cut, and bytes between zones cost; but a zone with few
+targets must not queue while others idle."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,7 +51,7 @@
         # The flow that is being placed counts too, or a cold target without
         # any flow would look as good as a warm one.
         cost = (cost + 1 / slots) * COLD_COST - 1 / slots
-    return cost if candidate.near else cost + FAR_FLOWS
+    return cost if candidate.near else cost * FAR_FACTOR + FAR_FLOWS
 
 
 def choose_target(candidates, poured, rng):
--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -14,10 +14,10 @@
 return (the platform's page on discovery); half a second is added for the
 way to us."""
 
-OUTAGE_S = 1.5
-"""Silence of the store after which vanished registrations may be due to the
-store.  Longer than the longest healthy wait for an answer (1 s watches),
-shorter than the three heartbeats after which a registration lapses."""
+OUTAGE_SLACK_S = 1.0
+"""Silence above the longest healthy wait after which vanished registrations
+may be due to the store; below the three heartbeats (3.6 s) after which a
+registration lapses."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,10 +104,15 @@
     Revisions are the store's; time is an argument, in seconds.
     """
 
-    def __init__(self):
-        """Know nothing: neither a route nor a target."""
+    def __init__(self, wait_s=1.0):
+        """Know nothing: neither a route nor a target.
+
+        :param wait_s: longest healthy wait between two confirmations.
+        """
+        self._outage_s = wait_s + OUTAGE_SLACK_S
         self.routes_revision = 0
         self.targets_revision = 0
+        self.targets_changed = 0
         self.routes_as_of = None
         self.targets_as_of = None
         self._routes = {}
@@ -128,7 +133,7 @@
         :param routes: iterable of :class:`Route`.
         :returns: whether anything changed.
         """
-        self.confirm_routes(as_of)
+        self.routes_as_of = max(as_of, self.routes_as_of or as_of)
         if revision <= self.routes_revision:
             # A list that a lagging replica served, or a watch that repeats
             # itself, must not bring back what a later version dropped.
@@ -142,7 +147,8 @@
 
     def confirm_routes(self, as_of):
         """Note that the known configuration was the newest at that time."""
-        self.routes_as_of = max(as_of, self.routes_as_of or as_of)
+        if self.routes_as_of is not None:
+            self.routes_as_of = max(as_of, self.routes_as_of)
 
     def adopt_targets(self, targets, revision, as_of, now):
         """Replace all targets by a newer complete list.
@@ -160,6 +166,10 @@
             self._forget(name, now)
         for name, (target, entry_revision) in targets.items():
             changed |= self._put(name, target, entry_revision)
+        if changed:
+            # A list does not say when something vanished; up to its own
+            # revision is the safe answer.
+            self.targets_changed = revision
         return changed
 
     def apply_targets(self, changes, revision, as_of, now):
@@ -176,12 +186,14 @@
             else:
                 changed |= self._put(name, target, entry_revision)
         self.targets_revision = max(revision, self.targets_revision)
+        if changed:
+            self.targets_changed = self.targets_revision
         return changed
 
     def confirm_targets(self, as_of, now):
         """Note that the known targets were the newest at that time."""
         before = self.targets_as_of
-        if before is not None and as_of - before > OUTAGE_S:
+        if before is not None and as_of - before > self._outage_s:
             self._outage_until = now + REGISTRATION_RETURN_S
         self.targets_as_of = as_of if before is None else max(as_of, before)
 
@@ -225,6 +237,16 @@
         ]
         return min(times, default=None)
 
+    def compute_age(self, now):
+        """Return the age of the older of both facts; infinite if none."""
+        if not self.complete:
+            return float('inf')
+        return now - min(self.routes_as_of, self.targets_as_of)
+
+    def list_routes(self):
+        """Return all routes, to tell others."""
+        return list(self._routes.values())
+
     def list_targets(self):
         """Return dict name -> (Target, revision), to tell others."""
         return {
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -1,7 +1,18 @@
-"""The actor that owns the directory and tells the packet actor its views."""
+"""The actor that owns the directory and the news between instances.
+
+Facts come from this instance's own followers or from other instances; the
+newest one wins, whoever told it.  The packet actor gets a view of each
+change and hears how fresh it is.
+"""
 
 import logging
+import socket
+from collections import Counter
+from dataclasses import dataclass
 
+from cornelgap.core.errors import CodedError
+from cornelgap.decisions.following import Following
+from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.directory import Directory
 from cornelgap.forwarding.facts import (
     RoutesKnown,
@@ -9,33 +20,90 @@
     TargetsListed,
     read_clock,
 )
-from cornelgap.forwarding.packet_actor import FORWARDING, AdoptView
-from cornelgap.kernel.inbox import SocketInbox, Tick
+from cornelgap.forwarding.fetcher import FETCHER, Fetch, SnapshotFetched
+from cornelgap.forwarding.follower import Follow
+from cornelgap.forwarding.neighbours import Neighbours
+from cornelgap.forwarding.packet_actor import (
+    FORWARDING,
+    AdoptView,
+    LoadSeen,
+    OthersLoad,
+)
+from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
 
 DIRECTORY = 'directory'
+FOLLOWERS = ('routes', 'targets')
 TICK_S = 0.25
+BEAT_S = 0.5
+"""Seconds between two beats at most; news go out at once."""
+
+WAKE_S = 0.75
+"""After a standstill of so long, datagrams that lie in the socket state
+ages that are no longer true."""
+
+READ_BATCH = 64
 _LOG = logging.getLogger('cornelgap.directory')
 
 
+@dataclass(frozen=True, slots=True)
+class KeyKnown:
+    """Message: the key under which instances talk."""
+
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ReadSnapshot:
+    """Message: give all facts as bytes for another instance; asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnnounceLeaving:
+    """Message: tell the others that this instance ends."""
+
+
 class DirectoryActor(Service):
-    """Keeps the newest facts.
+    """Keeps the newest facts and spreads them.
 
+    :param own: tuple (name, zone, host) of this instance.
+    :param port: port of all instances for each other.
+    :param wait_s: longest wait of a watch, seconds.
     :param on_complete: called once when routes and targets are known.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, scope, on_complete):
-        """Know nothing yet."""
-        super().__init__(scope, DIRECTORY)
-        self._directory = Directory()
+    def __init__(self, own, port, seeds, wait_s, rng, on_complete):
+        """Open the socket; know nothing yet."""
+        name, zone, host = own
+        super().__init__(name, DIRECTORY)
+        self._own = own
+        self._port = port
+        self._boot = rng.getrandbits(48)
+        self._key = None
+        self._following = Following(wait_s)
+        self._directory = Directory(wait_s)
+        self._neighbours = Neighbours(name, zone, host, seeds, rng)
+        self._sock = _open_socket((host, port))
         self._on_complete = on_complete
         self._complete = False
         self._changes_at = None
+        self._beat_at = float('-inf')
+        self._turn_at = read_clock()
+        self._loads = {}
+        self._reported = {}
+        self.counts = Counter()
+        self.actor_inbox.add_socket(self._sock)
         self.handlers = {
+            AnnounceLeaving: self._announce_leaving,
+            KeyKnown: self._take_key,
+            LoadSeen: self._take_loads,
+            ReadSnapshot: self._give_snapshot,
+            Readable: self._read,
             RoutesKnown: self._take_routes,
+            SnapshotFetched: self._take_snapshot,
             TargetsListed: self._take_list,
             TargetsChanged: self._take_changes,
             Tick: self._tick,
@@ -45,75 +113,329 @@
     def _create_actor_inbox():
         return SocketInbox(read_clock, TICK_S)
 
+    def begin(self):
+        """Follow the store at first: nobody can be asked yet."""
+        self._set_following()
+
+    def end(self):
+        """Close the socket."""
+        self._sock.close()
+
+    def on_receive(self, message):
+        """Notice a standstill, then handle the message."""
+        now = read_clock()
+        if now - self._turn_at > WAKE_S:
+            self._drain_socket()
+        self._turn_at = now
+        return super().on_receive(message)
+
+    # Facts of this instance's own followers.
+
     def _take_routes(self, fact):
+        directory = self._directory
         if fact.routes is None:
-            if self._directory.routes_as_of is not None:
-                self._directory.confirm_routes(fact.as_of)
-            self._tell(changed=False)
+            directory.confirm_routes(fact.as_of)
+            self._spread(changed=False)
             return
-        changed = self._directory.adopt_routes(
+        changed = directory.adopt_routes(
             fact.routes, fact.revision, fact.as_of
         )
+        self._log_routes(changed, 'store')
+        self._spread(changed)
+
+    def _take_list(self, fact):
+        changed = self._directory.adopt_targets(
+            fact.targets, fact.revision, fact.as_of, self._turn_at
+        )
+        self._log_targets(changed, 'store')
+        self._spread(changed)
+
+    def _take_changes(self, fact):
+        since = self._directory.targets_revision
+        changed = self._directory.apply_targets(
+            fact.changes, fact.revision, fact.as_of, self._turn_at
+        )
+        self._log_changes(fact.changes, 'store')
+        self._spread(changed, fact.changes if changed else (), since)
+
+    # Facts of other instances.
+
+    def _read(self, _message):
+        for _ in range(READ_BATCH):
+            try:
+                raw, (host, _) = self._sock.recvfrom(peers.MAX_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as exc:
+                self.counts[f'socket_{exc.errno}'] += 1
+                continue
+            if self._key is not None:
+                self._take_datagram(raw, host)
+
+    def _take_datagram(self, raw, host):
+        try:
+            beat = peers.decode_beat(raw, self._key)
+            changes = [
+                peers.load_change(item, self._turn_at) for item in beat.changes
+            ]
+        except CodedError as exc:
+            self.counts[str(exc.code)] += 1
+            return
+        self._neighbours.note_beat(beat, self._turn_at)
+        if beat.hello:
+            self._send_beat([host], beat.zone)
+        if not beat.leaving:
+            self._compare(beat, changes)
+
+    def _compare(self, beat, changes):
+        """Take from a beat what it says of the directory."""
+        directory = self._directory
+        now = self._turn_at
+        behind = False
+        changed = False
+        confirmed = False
+        if beat.routes_age is not None:
+            if beat.routes_revision == directory.routes_revision:
+                confirmed = directory.routes_as_of is not None
+                directory.confirm_routes(now - beat.routes_age)
+            behind = beat.routes_revision > directory.routes_revision
+        if beat.targets_age is not None:
+            as_of = now - beat.targets_age
+            known = directory.targets_revision
+            if directory.targets_as_of is None:
+                behind = True
+            elif beat.targets_changed <= known <= beat.targets_revision:
+                directory.apply_targets((), beat.targets_revision, as_of, now)
+                confirmed = True
+            elif changes and beat.since <= known < beat.targets_revision:
+                changed = directory.apply_targets(
+                    changes, beat.targets_revision, as_of, now
+                )
+                self._log_changes(changes, beat.name)
+            elif beat.targets_changed > known:
+                behind = True
+        if behind:
+            tell_service(self.scope, FETCHER, Fetch(beat.host, self._key))
+        if changed or confirmed:
+            self._tell(changed)
+
+    def _take_snapshot(self, message):
+        snapshot = message.snapshot
+        directory = self._directory
+        now = self._turn_at
+        changed = directory.adopt_routes(
+            snapshot.routes,
+            snapshot.routes_revision,
+            message.sent_at - snapshot.routes_age,
+        )
+        self._log_routes(changed, message.host)
+        targets_changed = directory.adopt_targets(
+            snapshot.targets,
+            snapshot.targets_revision,
+            message.sent_at - snapshot.targets_age,
+            now,
+        )
+        self._log_targets(targets_changed, message.host)
+        self._spread(changed or targets_changed)
+
+    def _give_snapshot(self, _message):
+        if self._key is None or not self._directory.complete:
+            return b''
+        return peers.pack_snapshot(self._directory, read_clock(), self._key)
+
+    # What this instance tells.
+
+    def _spread(self, changed, changes=(), since=0):
+        """Tell the packet actor, and the others if that is this one's job."""
+        self._tell(changed)
+        if not self._directory.complete:
+            return
+        hosts = []
+        if self._following.active or self._neighbours.is_hub:
+            hosts = self._neighbours.list_all_near()
+        if hosts:
+            now = self._turn_at
+            dumped = [
+                peers.dump_change(name, target, revision, now)
+                for name, target, revision in changes
+            ]
+            self._send_beat(hosts, self._own[1], changes=dumped, since=since)
+
+    def _tell(self, changed):
+        directory = self._directory
+        if not directory.complete:
+            return
+        now = self._turn_at
+        view = None
+        if changed or not self._complete:
+            view = directory.make_view(now)
+            self._changes_at = directory.next_change(now)
+        as_of = now - directory.compute_age(now)
+        tell_service(self.scope, FORWARDING, AdoptView(view, as_of))
+        if not self._complete:
+            self._complete = True
+            self._on_complete()
+
+    def _tick(self, _message):
+        now = self._turn_at
+        neighbours = self._neighbours
+        neighbours.expire(now)
+        if self._changes_at is not None and now >= self._changes_at:
+            self._tell(changed=True)
+        self._decide_following(now)
+        host = neighbours.choose_hello(now)
+        if host is not None:
+            self._send_beat([host], self._own[1], hello=True)
+        if now - self._beat_at >= BEAT_S:
+            self._beat_at = now
+            hosts = neighbours.list_near_hosts()
+            if self._following.active:
+                hosts = neighbours.list_all_near()
+            self._send_beat(hosts, self._own[1])
+            self._send_beat(neighbours.list_far_hosts(now), '')
+            others = neighbours.sum_others(self._reported, now)
+            tell_service(
+                self.scope,
+                FORWARDING,
+                OthersLoad(others, neighbours.count_zone()),
+            )
+
+    def _decide_following(self, now):
+        neighbours = self._neighbours
+        before = self._following.active
+        active = self._following.decide(
+            now,
+            neighbours.compute_rank(),
+            self._directory.compute_age(now),
+            neighbours.find_follower(now, self._following.is_fresh),
+        )
+        if active != before:
+            _LOG.info(
+                'directory: follows the store'
+                if active
+                else 'directory: leaves the store to others',
+                extra={
+                    'rank': neighbours.compute_rank(),
+                    'age_s': round(self._directory.compute_age(now), 3),
+                },
+            )
+            self._set_following()
+
+    def _set_following(self):
+        for kind in FOLLOWERS:
+            tell_service(self.scope, kind, Follow(self._following.active))
+
+    def _send_beat(self, hosts, zone, **parts):
+        if not hosts or self._key is None:
+            return
+        raw = peers.encode_beat(self._make_beat(zone, parts), self._key)
+        for host in hosts:
+            try:
+                self._sock.sendto(raw, (host, self._port))
+            except OSError as exc:
+                # Nobody can be reached there now; the next beat tries again.
+                self.counts[f'unsent_{exc.errno}'] += 1
+
+    def _make_beat(self, zone, parts):
+        directory = self._directory
+        neighbours = self._neighbours
+        now = self._turn_at
+        name, own_zone, host = self._own
+        beat = peers.Beat(name, own_zone, host, self._boot, **parts)
+        beat.hub = neighbours.is_hub
+        beat.following = self._following.active
+        beat.loads = self._loads
+        self._reported = self._loads
+        if directory.complete:
+            beat.routes_revision = directory.routes_revision
+            beat.routes_age = _round_age(now - directory.routes_as_of)
+            beat.targets_revision = directory.targets_revision
+            beat.targets_changed = directory.targets_changed
+            beat.targets_age = _round_age(now - directory.targets_as_of)
+        if beat.hub:
+            beat.zone_loads = neighbours.sum_zone_loads(self._loads, now)
+            beat.members = neighbours.list_members(now, zone)
+            if zone == own_zone:
+                beat.far_loads = neighbours.sum_far_loads(now)
+        elif parts.get('hello') or zone != own_zone:
+            beat.members = neighbours.list_members(now, zone)
+        return beat
+
+    def _announce_leaving(self, _message):
+        self._send_beat(
+            self._neighbours.list_all_near(), self._own[1], leaving=True
+        )
+
+    # Small messages.
+
+    def _take_key(self, message):
+        self._key = message.key
+
+    def _take_loads(self, message):
+        self._loads = message.loads
+
+    def _drain_socket(self):
+        for _ in range(READ_BATCH * READ_BATCH):
+            try:
+                self._sock.recv(peers.MAX_BYTES)
+            except OSError:
+                return
+
+    # Logs.
+
+    def _log_routes(self, changed, origin):
         if changed:
+            directory = self._directory
             _LOG.info(
                 'directory: routes adopted',
                 extra={
-                    'revision': fact.revision,
-                    'routes': len(fact.routes),
-                    'age_s': round(read_clock() - fact.as_of, 3),
+                    'from': origin,
+                    'revision': directory.routes_revision,
+                    'routes': len(directory.list_routes()),
+                    'age_s': round(
+                        self._turn_at - directory.routes_as_of, 3
+                    ),
                 },
             )
-        self._tell(changed)
 
-    def _take_list(self, fact):
-        changed = self._directory.adopt_targets(
-            fact.targets, fact.revision, fact.as_of, read_clock()
-        )
+    def _log_targets(self, changed, origin):
         if changed:
+            directory = self._directory
             _LOG.info(
                 'directory: targets listed',
                 extra={
-                    'revision': fact.revision,
-                    'targets': len(fact.targets),
+                    'from': origin,
+                    'revision': directory.targets_revision,
+                    'targets': len(directory.list_targets()),
                 },
             )
-        self._tell(changed)
 
-    def _take_changes(self, fact):
-        changed = self._directory.apply_targets(
-            fact.changes, fact.revision, fact.as_of, read_clock()
-        )
-        for name, target, revision in fact.changes:
+    def _log_changes(self, changes, origin):
+        for name, target, revision in changes:
             _LOG.info(
                 'directory: target changed',
                 extra={
+                    'from': origin,
                     'target': name,
                     'state': _name_state(target),
                     'revision': revision,
                 },
             )
-        self._tell(changed)
-
-    def _tick(self, _message):
-        if self._changes_at is not None and read_clock() >= self._changes_at:
-            self._tell(changed=True)
-
-    def _tell(self, changed):
-        directory = self._directory
-        if not directory.complete:
-            return
-        now = read_clock()
-        view = directory.make_view(now) if changed or not self._complete else None
-        if view is not None:
-            self._changes_at = directory.next_change(now)
-        as_of = min(directory.routes_as_of, directory.targets_as_of)
-        tell_service(self.scope, FORWARDING, AdoptView(view, as_of))
-        if not self._complete:
-            self._complete = True
-            self._on_complete()
 
 
 def _name_state(target):
     if target is None:
         return 'gone'
     return 'draining' if target.draining else 'ready'
+
+
+def _round_age(age):
+    # Rounded up: an age that is told too low would make old facts fresh.
+    return round(age + 0.0005, 3)
+
+
+def _open_socket(address):
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sock.bind(address)
+    sock.setblocking(False)
+    return sock
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -6,6 +6,7 @@
 callers repeat, and the next instance, or this one a moment later, knows.
 """
 
+from cornelgap.decisions.averages import Average
 from cornelgap.decisions.flow_health import FlowHealth, select_trusted
 from cornelgap.decisions.target_choice import Candidate, choose_target
 from cornelgap.forwarding import packets as pkt
@@ -21,6 +22,13 @@
 """A target that answered within this time is not reset away from, even if
 its registration is gone: it may be cut off from the store alone."""
 
+NEWS_S = 0.5
+"""Mean age of what is known of other instances' flows: beats come twice a
+second, by way of a hub."""
+
+OPEN_SHARE = 0.3
+"""Weight of the last second in the rate of new flows."""
+
 DISTRUST_S = 1.0
 """Longest time without new flows after a standstill.  A store or peer that
 is in reach confirms within milliseconds; an instance that is cut off has to
@@ -42,6 +50,11 @@
         self.fresh_until = float('-inf')
         self._distrusted_at = float('-inf')
         self.flows = FlowTable()
+        self._others = {}
+        self._instances = 1
+        self._opens = Average(OPEN_SHARE)
+        self._opens_second = 0
+        self._opens_count = 0
         self.health = FlowHealth()
 
     def adopt_view(self, view):
@@ -56,6 +69,15 @@
         if as_of >= self._distrusted_at:
             self._distrusted_at = float('-inf')
 
+    def note_others(self, loads, instances):
+        """Note the flows on targets that other instances see.
+
+        :param loads: flows by cookie.
+        :param instances: instances of this zone, this one included.
+        """
+        self._others = loads
+        self._instances = instances
+
     def distrust(self, now):
         """Place no flow until the directory is confirmed after this time.
 
@@ -130,13 +152,28 @@
         candidates = [
             self._weigh(target, now) for target in (untried or usable)
         ]
-        return choose_target(candidates, 1.0, self._rng)
+        return choose_target(candidates, self._estimate_poured(now), self._rng)
+
+    def _estimate_poured(self, now):
+        """Return the flows that the zone opens before others' next news.
+
+        Own flows are known at once; other instances open as many as this
+        one, since routers spread flows evenly over a zone.
+        """
+        second = int(now)
+        if second != self._opens_second:
+            self._opens.add(self._opens_count)
+            self._opens_second = second
+            self._opens_count = 0
+        self._opens_count += 1
+        rate = self._opens.read(0)
+        return 1 + rate * (self._instances - 1) * NEWS_S
 
     def _weigh(self, target, now):
         load = self.flows.get_load(target.cookie)
         return Candidate(
             target,
-            load.flows,
+            load.flows + self._others.get(target.cookie, 0.0),
             load.waiting,
             near=target.zone == self._zone,
             cold=now < target.cold_until,
--- /dev/null
+++ b/cornelgap/forwarding/fetcher.py
@@ -0,0 +1,119 @@
+"""Fetching all facts from another instance, and giving them to others.
+
+A beat says that there is something newer but is too small to hold it.  The
+fetch runs in an actor of its own, since it waits for the other side.
+"""
+
+import logging
+import socket
+import socketserver
+from dataclasses import dataclass
+
+from cornelgap.core.errors import CodedError
+from cornelgap.forwarding.facts import read_clock
+from cornelgap.forwarding.peer_messages import unpack_snapshot
+from cornelgap.kernel.names import tell_service
+from cornelgap.kernel.service import Service
+
+FETCHER = 'fetcher'
+FETCH_S = 1.0
+"""Longest fetch, seconds.  Snapshots of 1,400 routes take 20 ms."""
+
+_CHUNK = 65536
+_LOG = logging.getLogger('cornelgap.directory')
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """Message: fetch all facts from a host."""
+
+    host: str
+    key: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotFetched:
+    """Message: what another instance knows.
+
+    :param sent_at: when it was asked; its ages count from here, so that
+        the time on the way makes facts look older, never younger.
+    """
+
+    host: str
+    snapshot: object
+    sent_at: float
+
+
+class Fetcher(Service):
+    """Fetches one snapshot at a time.
+
+    :param receiver: name of the service that gets them.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, scope, port, receiver):
+        """Wait for :class:`Fetch`."""
+        super().__init__(scope, FETCHER)
+        self._port = port
+        self._receiver = receiver
+        self._asked_at = float('-inf')
+        self.handlers = {Fetch: self._fetch}
+
+    def _fetch(self, message):
+        now = read_clock()
+        if not self.actor_inbox.empty():
+            # Beats that came during the last fetch asked for the same.
+            return
+        try:
+            raw = _receive_all((message.host, self._port))
+            snapshot = unpack_snapshot(raw, read_clock(), message.key)
+        except (OSError, CodedError) as exc:
+            _LOG.info(
+                'directory: fetch failed',
+                extra={'host': message.host, 'error': repr(exc)},
+            )
+            return
+        found = SnapshotFetched(message.host, snapshot, now)
+        tell_service(self.scope, self._receiver, found)
+
+
+def make_server(address, read_snapshot):
+    """Make a server that gives a snapshot to whoever connects.
+
+    :param read_snapshot: function that gives bytes, empty if there are none.
+    """
+
+    class Handler(socketserver.BaseRequestHandler):
+        def handle(self):
+            self.request.settimeout(FETCH_S)
+            try:
+                self.request.sendall(read_snapshot())
+            except OSError as exc:
+                _LOG.info(
+                    'directory: snapshot not taken', extra={'error': repr(exc)}
+                )
+
+    server = socketserver.ThreadingTCPServer(
+        address, Handler, bind_and_activate=False
+    )
+    server.daemon_threads = True
+    server.allow_reuse_address = True
+    server.server_bind()
+    server.server_activate()
+    return server
+
+
+def _receive_all(address):
+    ends_at = read_clock() + FETCH_S
+    chunks = []
+    with socket.create_connection(address, FETCH_S) as sock:
+        while True:
+            left = ends_at - read_clock()
+            if left <= 0:
+                raise TimeoutError('the snapshot takes too long')
+            sock.settimeout(left)
+            chunk = sock.recv(_CHUNK)
+            if not chunk:
+                return b''.join(chunks)
+            chunks.append(chunk)
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -79,6 +79,14 @@
             load = self.loads[cookie] = Load()
         return load
 
+    def count_flows(self):
+        """Return the number of active flows by cookie, without zeros."""
+        return {
+            cookie: load.flows
+            for cookie, load in self.loads.items()
+            if load.flows
+        }
+
     def note_open(self, key, cookie, now):
         """Note that a SYN was sent to a target."""
         flow = self._flows.get(key)
--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -13,12 +13,6 @@
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
 
-WAIT_S = 1.0
-"""Longest wait for a change.  An answered wait is the only proof that the
-connection still hears the store; a change must be in force everywhere
-within three seconds, of which a silent connection costs this wait, its
-time-out of one second and a list."""
-
 RETRY_S = 0.3
 """Pause after a failed call; with jitter of half of it either way, so that
 instances do not come back to a restarted store in one moment."""
@@ -44,16 +38,19 @@
     :param source: offers ``list_facts()`` and ``watch_facts(wait_s)``, both
         giving a message for the directory, and ``close()``.
     :param receiver: name of the service that is told.
+    :param wait_s: longest wait for a change.  An answered wait is the only
+        proof that the connection still hears the store.
     :param pause: function that sleeps for some seconds.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, scope, name, source, receiver, rng, pause):
+    def __init__(self, scope, name, source, receiver, wait_s, rng, pause):
         """Wait for :class:`Follow`."""
         super().__init__(scope, name)
         self._source = source
         self._receiver = receiver
+        self._wait_s = wait_s
         self._rng = rng
         self._pause = pause
         self._active = False
@@ -85,7 +82,7 @@
 
     def _call(self):
         if self._listed:
-            fact = self._source.watch_facts(WAIT_S)
+            fact = self._source.watch_facts(self._wait_s)
         else:
             fact = self._source.list_facts()
         self._listed = True
--- /dev/null
+++ b/cornelgap/forwarding/neighbours.py
@@ -0,0 +1,291 @@
+"""The other instances as this one knows them: who is there, who is a hub.
+
+The first two instances of a zone, by rendezvous rank, are its hubs: the
+others send their beats to them and hear from them.  So the number of
+datagrams grows with the instances, not with their square.  Nothing here
+sends or receives; time is an argument, in seconds.
+"""
+
+from dataclasses import dataclass
+
+from cornelgap.decisions.fanout import rank_names
+
+HUBS = 2
+"""Hubs a zone: one may die, and the zone still hears of a change."""
+
+SILENT_S = 1.3
+"""Silence after which a hub is passed over.  Hubs send twice a second, so
+this takes two lost datagrams in a row."""
+
+MENTION_S = 3.0
+"""An instance heard within this time is told of to others."""
+
+FORGET_S = 4.0
+LOAD_S = 3.0
+"""Age at which a report of load is worth nothing: callers have moved on."""
+
+HELLO_S = 1.0
+"""Seconds between two questions to seeds while nobody is known."""
+
+REPAIR_S = 5.0
+"""Seconds between two questions otherwise; they join groups of instances
+that have not heard of each other."""
+
+FAR_S = 1.0
+"""Seconds between two beats to hubs of other zones; these bytes cost."""
+
+
+@dataclass(slots=True)
+class Member:
+    """Another instance.
+
+    :param direct_at: when it was last heard itself; None if never.
+    :param known_at: when it was last heard or told of.
+    :param expected_since: since when its silence counts against it.
+    """
+
+    name: str
+    zone: str
+    host: str
+    known_at: float
+    direct_at: float | None = None
+    expected_since: float | None = None
+    beat: object = None
+
+
+class Neighbours:
+    """All instances that this one has heard of.
+
+    :param seeds: hosts of a few instances, perhaps stale.
+    """
+
+    def __init__(self, name, zone, host, seeds, rng):
+        """Know the seeds' addresses only."""
+        self.name = name
+        self.zone = zone
+        self.host = host
+        self._seeds = [seed for seed in seeds if seed != host]
+        self._rng = rng
+        self._members = {}
+        self._hubs = [name]
+        self._suspects = set()
+        self._hello_at = float('-inf')
+        self._far_at = float('-inf')
+
+    def note_beat(self, beat, now):
+        """Take in a beat."""
+        if beat.name == self.name:
+            return
+        if beat.leaving:
+            self._members.pop(beat.name, None)
+            return
+        member = self._add(beat.name, beat.zone, beat.host, now)
+        member.direct_at = now
+        member.expected_since = None
+        member.beat = beat
+        for name, zone, host in beat.members:
+            if name != self.name:
+                self._add(name, zone, host, now)
+
+    def expire(self, now):
+        """Forget who was not heard of for long, and choose the hubs."""
+        late = [
+            name
+            for name, member in self._members.items()
+            if now - member.known_at > FORGET_S
+        ]
+        for name in late:
+            self._members.pop(name)
+        self._choose_hubs(now)
+
+    @property
+    def is_hub(self):
+        """Say whether this instance is a hub of its zone."""
+        return self.name in self._hubs
+
+    def compute_rank(self):
+        """Return how many instances of the zone precede this one."""
+        ranked = self._rank()
+        before = ranked[: ranked.index(self.name)]
+        return sum(name not in self._suspects for name in before)
+
+    def find_follower(self, now, is_fresh):
+        """Say whether one of lower rank follows the store with success.
+
+        :param is_fresh: function of an age in seconds.
+        """
+        ranked = self._rank()
+        for name in ranked[: ranked.index(self.name)]:
+            member = self._members[name]
+            beat = member.beat
+            if beat is None or not beat.following or beat.routes_age is None:
+                continue
+            passed = now - member.direct_at
+            if is_fresh(max(beat.routes_age, beat.targets_age or 0) + passed):
+                return True
+        return False
+
+    def list_near_hosts(self):
+        """Return the hosts of this zone that get the regular beat."""
+        if self.is_hub:
+            return [member.host for member in self._list_zone()]
+        return [
+            self._members[name].host
+            for name in self._hubs
+            if name in self._members
+        ]
+
+    def list_all_near(self):
+        """Return the hosts of all other instances of this zone."""
+        return [member.host for member in self._list_zone()]
+
+    def list_far_hosts(self, now):
+        """Return hosts of hubs of other zones if they are due a beat."""
+        if not self.is_hub or now - self._far_at < FAR_S:
+            return []
+        self._far_at = now
+        hosts = []
+        for zone in {item.zone for item in self._members.values()}:
+            if zone != self.zone:
+                hosts += self._find_far_hubs(zone)
+        return hosts
+
+    def choose_hello(self, now):
+        """Return a host to ask who is there if a question is due."""
+        alone = not self._list_zone()
+        pause = HELLO_S if alone else REPAIR_S
+        if now - self._hello_at < pause:
+            return None
+        known = [member.host for member in self._members.values()]
+        hosts = self._seeds if alone else (self._seeds + known)
+        if not hosts:
+            return None
+        self._hello_at = now
+        return self._rng.choice(hosts)
+
+    def list_members(self, now, zone):
+        """Return [name, zone, host] of those to be told to a zone."""
+        told = [[self.name, self.zone, self.host]]
+        for member in self._members.values():
+            if member.direct_at is None:
+                continue
+            if now - member.direct_at > MENTION_S:
+                continue
+            is_hub = member.beat is not None and member.beat.hub
+            if member.zone == zone or is_hub:
+                told.append([member.name, member.zone, member.host])
+        return told
+
+    def sum_zone_loads(self, own, now):
+        """Return flows by cookie of the whole zone."""
+        total = dict(own)
+        for member in self._list_zone():
+            if _is_recent(member, now):
+                _add_loads(total, member.beat.loads)
+        return total
+
+    def sum_far_loads(self, now):
+        """Return flows by cookie of all other zones, as hubs know them."""
+        by_zone = {}
+        for member in self._members.values():
+            if member.zone == self.zone or not _is_recent(member, now):
+                continue
+            if member.beat.zone_loads is None:
+                continue
+            known = by_zone.get(member.zone)
+            if known is None or member.direct_at > known.direct_at:
+                by_zone[member.zone] = member
+        total = {}
+        for member in by_zone.values():
+            _add_loads(total, member.beat.zone_loads)
+        return total
+
+    def sum_others(self, own, now):
+        """Return flows by cookie that other instances have.
+
+        :param own: flows by cookie that this instance reported last.
+        """
+        if self.is_hub:
+            total = self.sum_zone_loads({}, now)
+            _add_loads(total, self.sum_far_loads(now))
+            return total
+        hubs = [
+            self._members[name] for name in self._hubs if name in self._members
+        ]
+        told = [
+            member
+            for member in hubs
+            if _is_recent(member, now) and member.beat.zone_loads is not None
+        ]
+        if not told:
+            return {}
+        beat = max(told, key=lambda member: member.direct_at).beat
+        total = dict(beat.far_loads)
+        _add_loads(total, beat.zone_loads)
+        for cookie, flows in own.items():
+            if cookie in total:
+                total[cookie] = max(0.0, total[cookie] - flows)
+        return total
+
+    def count_zone(self):
+        """Return the number of instances of this zone, this one included."""
+        return 1 + len(self._list_zone())
+
+    def _add(self, name, zone, host, now):
+        member = self._members.get(name)
+        if member is None or member.host != host:
+            member = Member(name, zone, host, now)
+            self._members[name] = member
+        member.known_at = now
+        return member
+
+    def _list_zone(self):
+        return [
+            member
+            for member in self._members.values()
+            if member.zone == self.zone
+        ]
+
+    def _rank(self):
+        names = {member.name for member in self._list_zone()}
+        return rank_names(self.zone, names | {self.name})
+
+    def _choose_hubs(self, now):
+        hubs = []
+        self._suspects = set()
+        for name in self._rank():
+            if len(hubs) == HUBS:
+                break
+            if name == self.name or self._may_be_hub(name, now):
+                hubs.append(name)
+            else:
+                self._suspects.add(name)
+        self._hubs = hubs
+
+    def _may_be_hub(self, name, now):
+        member = self._members[name]
+        if member.direct_at is not None and now - member.direct_at < SILENT_S:
+            return True
+        if member.expected_since is None:
+            member.expected_since = now
+        return now - member.expected_since < SILENT_S
+
+    def _find_far_hubs(self, zone):
+        members = [
+            member for member in self._members.values() if member.zone == zone
+        ]
+        hubs = [
+            member.host
+            for member in members
+            if member.beat is not None and member.beat.hub
+        ]
+        return hubs or [members[0].host]
+
+
+def _is_recent(member, now):
+    return member.beat is not None and now - member.direct_at < LOAD_S
+
+
+def _add_loads(total, loads):
+    for cookie, flows in loads.items():
+        total[cookie] = total.get(cookie, 0.0) + flows
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -12,6 +12,7 @@
 from cornelgap.forwarding.facts import read_clock
 from cornelgap.forwarding.packets import Drop, Forward
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
+from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
 
 FORWARDING = 'forwarding'
@@ -39,6 +40,28 @@
     as_of: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadSeen:
+    """Message: flows on targets that this instance sees.
+
+    :param loads: flows by cookie.
+    """
+
+    loads: dict
+
+
+@dataclass(frozen=True, slots=True)
+class OthersLoad:
+    """Message: flows on targets that other instances see.
+
+    :param loads: flows by cookie.
+    :param instances: instances of this zone, this one included.
+    """
+
+    loads: dict
+    instances: int
+
+
 @dataclass(frozen=True, slots=True)
 class ReadCounts:
     """Message: give counts and the time of the last packet; asked."""
@@ -66,14 +89,16 @@
     :param engine: :class:`cornelgap.forwarding.engine.Engine`.
     :param address: tuple (host, port) to listen on; callers get packets at
         the same port of their own.
+    :param receiver: name of the service that hears of the load.
     """
 
-    def __init__(self, scope, engine, codec, address):
+    def __init__(self, scope, engine, codec, address, receiver):
         """Open the socket."""
         super().__init__(scope, FORWARDING)
         self._engine = engine
         self._codec = codec
         self._port = address[1]
+        self._receiver = receiver
         self._sock = _open_socket(address)
         self._turn_at = read_clock()
         self._packet_at = self._turn_at
@@ -82,6 +107,7 @@
         self.actor_inbox.add_socket(self._sock)
         self.handlers = {
             AdoptView: self._adopt_view,
+            OthersLoad: self._take_others,
             Readable: self._read,
             ReadCounts: self._give_counts,
             Tick: self._tick,
@@ -166,8 +192,13 @@
             # The network is full or gone; the caller repeats.
             self.counts[f'unsent_{exc.errno}'] += 1
 
+    def _take_others(self, message):
+        self._engine.note_others(message.loads, message.instances)
+
     def _tick(self, _message):
         self._engine.expire(self._turn_at)
+        loads = self._engine.flows.count_flows()
+        tell_service(self.scope, self._receiver, LoadSeen(loads))
 
     def _give_counts(self, _message):
         return dict(self.counts), self._packet_at
--- /dev/null
+++ b/cornelgap/forwarding/peer_messages.py
@@ -0,0 +1,281 @@
+"""What instances tell each other, and its form on the wire.
+
+One kind of datagram, the beat: who is there, how fresh its facts are, what
+has just changed, and how many flows it has seen on each target.  A beat
+begins with a version and a keyed hash.  A receiver ignores fields that it
+does not know, so that versions can run side by side during an upgrade.
+"""
+
+import hmac
+import json
+import zlib
+from dataclasses import asdict, dataclass, field, fields
+from hashlib import blake2b
+
+from cornelgap.core.errors import Code, CodedError
+from cornelgap.forwarding.directory import Route, Target, make_cookie
+
+VERSION = 1
+TAG_BYTES = 16
+MAX_BYTES = 60000
+"""A datagram's limit, less room for headers."""
+
+PACKED_BYTES = 64 * 1024 * 1024
+"""Longest unpacked snapshot: 4,600 targets and 2,300 routes take 2 MB."""
+
+
+@dataclass(slots=True)
+class Beat:
+    """A sign of life with news.
+
+    :param boot: random number of the process's lifetime.
+    :param hello: whether the sender wants a beat back at once.
+    :param hub: whether it tells the others of its zone.
+    :param following: whether it follows the store.
+    :param routes_revision: revision of its configuration.
+    :param routes_age: seconds since that was known to be the newest; None
+        if it knows none.
+    :param targets_revision: store revision up to which it knows all targets.
+    :param targets_changed: revision of the last change of a target.
+    :param since: with ``changes``: revision that these follow on.
+    :param changes: what :func:`dump_change` gives.
+    :param loads: flows by cookie that the sender has seen.
+    :param zone_loads: the same for its whole zone; None if it is no hub.
+    :param far_loads: the same for all other zones, if known.
+    :param members: lists [name, zone, host] of instances heard lately.
+    """
+
+    name: str
+    zone: str
+    host: str
+    boot: int
+    hello: bool = False
+    hub: bool = False
+    following: bool = False
+    leaving: bool = False
+    routes_revision: int = 0
+    routes_age: float | None = None
+    targets_revision: int = 0
+    targets_changed: int = 0
+    targets_age: float | None = None
+    since: int = 0
+    changes: list = field(default_factory=list)
+    loads: dict = field(default_factory=dict)
+    zone_loads: dict | None = None
+    far_loads: dict = field(default_factory=dict)
+    members: list = field(default_factory=list)
+
+
+_KNOWN = frozenset(item.name for item in fields(Beat))
+_NUMBERS = (
+    'boot',
+    'routes_revision',
+    'targets_revision',
+    'targets_changed',
+    'since',
+)
+
+
+def encode_beat(beat, key):
+    """Encode a beat under a key of 16 to 64 bytes."""
+    content = {
+        name: value
+        for name, value in asdict(beat).items()
+        if value or name in {'name', 'zone', 'host', 'boot'} or value == 0
+    }
+    return seal(json.dumps(content, separators=(',', ':')).encode(), key)
+
+
+def decode_beat(raw, key):
+    """Decode a beat.
+
+    :raises CodedError: ``NET-002`` if the key does not fit, ``PKT-002`` for
+        another version, ``PKT-007`` for a bad field.
+    """
+    content = _parse(unseal(raw, key))
+    known = {name: content[name] for name in _KNOWN & content.keys()}
+    try:
+        beat = Beat(**known)
+    except TypeError as exc:
+        raise CodedError(Code.PKT_FIELD, str(exc), 'beat') from exc
+    _check(beat)
+    for name in ('loads', 'far_loads', 'zone_loads'):
+        setattr(beat, name, _read_loads(getattr(beat, name), name))
+    return beat
+
+
+def seal(body, key):
+    """Put version and keyed hash in front of bytes."""
+    head = bytes([VERSION])
+    return head + _compute_tag(head + body, key) + body
+
+
+def unseal(raw, key):
+    """Check and remove what :func:`seal` has put in front.
+
+    :raises CodedError: ``PKT-002`` or ``NET-002``.
+    """
+    if not raw or raw[0] != VERSION:
+        raise CodedError(Code.PKT_VERSION, 'another version', 'peer')
+    body = raw[1 + TAG_BYTES :]
+    tag = raw[1 : 1 + TAG_BYTES]
+    if not hmac.compare_digest(tag, _compute_tag(raw[:1] + body, key)):
+        # Anybody on the network can send to this port; believing one would
+        # let him send flows where he likes.
+        raise CodedError(Code.NET_FORGED, 'the tag does not fit', 'peer')
+    return body
+
+
+def dump_change(name, target, revision, now):
+    """Write a target, or that it has gone, as a list of plain values."""
+    if target is None:
+        return [name, revision]
+    cold_s = max(0.0, target.cold_until - now)
+    return [
+        name,
+        revision,
+        target.identity,
+        target.service,
+        target.address[0],
+        target.address[1],
+        target.zone,
+        target.slots,
+        int(target.draining),
+        round(cold_s, 2),
+    ]
+
+
+def load_change(item, now):
+    """Read what :func:`dump_change` has written.
+
+    :returns: tuple (name, :class:`Target` or None, revision).
+    :raises CodedError: ``PKT-007`` if it is malformed.
+    """
+    try:
+        return _load_change(item, now)
+    except (TypeError, ValueError, IndexError) as exc:
+        raise CodedError(Code.PKT_FIELD, repr(exc), 'change') from exc
+
+
+def pack_snapshot(directory, now, key):
+    """Write all that a directory knows, for an instance that is behind."""
+    content = {
+        'routes_revision': directory.routes_revision,
+        'routes_age': now - directory.routes_as_of,
+        'routes': [
+            [route.name, route.address, route.port, route.shares]
+            for route in directory.list_routes()
+        ],
+        'targets_revision': directory.targets_revision,
+        'targets_changed': directory.targets_changed,
+        'targets_age': now - directory.targets_as_of,
+        'targets': [
+            dump_change(name, target, revision, now)
+            for name, (target, revision) in directory.list_targets().items()
+        ],
+    }
+    return seal(zlib.compress(json.dumps(content).encode(), 1), key)
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All that another instance knows; ages in seconds."""
+
+    routes_revision: int
+    routes_age: float
+    routes: list
+    targets_revision: int
+    targets_changed: int
+    targets_age: float
+    targets: dict
+
+
+def unpack_snapshot(raw, now, key):
+    """Read what :func:`pack_snapshot` has written.
+
+    :raises CodedError: as :func:`decode_beat` does.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        body = unpacker.decompress(unseal(raw, key), PACKED_BYTES)
+        content = _parse(body)
+        changes = [load_change(item, now) for item in content['targets']]
+        return Snapshot(
+            content['routes_revision'],
+            content['routes_age'],
+            [
+                Route(name, address, port, tuple(map(tuple, shares)))
+                for name, address, port, shares in content['routes']
+            ],
+            content['targets_revision'],
+            content['targets_changed'],
+            content['targets_age'],
+            {name: (target, revision) for name, target, revision in changes},
+        )
+    except (zlib.error, KeyError, TypeError, ValueError) as exc:
+        raise CodedError(Code.PKT_FIELD, repr(exc), 'snapshot') from exc
+
+
+def _load_change(item, now):
+    name, revision = str(item[0]), int(item[1])
+    if len(item) == 2:
+        return name, None, revision
+    identity, service, host, port, zone, slots, draining, cold_s = item[2:10]
+    target = Target(
+        name=name,
+        identity=int(identity),
+        cookie=make_cookie(int(identity)),
+        service=str(service),
+        address=(str(host), int(port)),
+        zone=str(zone),
+        slots=int(slots),
+        draining=bool(draining),
+        cold_until=now + float(cold_s),
+    )
+    return name, target, revision
+
+
+def _parse(body):
+    try:
+        content = json.loads(body)
+    except ValueError as exc:
+        raise CodedError(Code.PKT_FIELD, repr(exc), 'body') from exc
+    if not isinstance(content, dict):
+        raise CodedError(Code.PKT_FIELD, 'no object', 'body')
+    return content
+
+
+def _check(beat):
+    texts = all(
+        isinstance(text, str) for text in (beat.name, beat.zone, beat.host)
+    )
+    numbers = all(isinstance(getattr(beat, name), int) for name in _NUMBERS)
+    ages = all(
+        age is None or (isinstance(age, (int, float)) and age >= 0)
+        for age in (beat.routes_age, beat.targets_age)
+    )
+    lists = isinstance(beat.changes, list) and _are_members(beat.members)
+    if not (texts and numbers and ages and lists):
+        raise CodedError(Code.PKT_FIELD, 'a field of another type', 'beat')
+
+
+def _are_members(members):
+    return isinstance(members, list) and all(
+        isinstance(item, list)
+        and len(item) == 3
+        and all(isinstance(text, str) for text in item)
+        for item in members
+    )
+
+
+def _read_loads(loads, name):
+    if loads is None:
+        return None
+    try:
+        return {int(cookie): float(flows) for cookie, flows in loads.items()}
+    except (AttributeError, TypeError, ValueError) as exc:
+        raise CodedError(Code.PKT_FIELD, repr(exc), name) from exc
+
+
+def _compute_tag(body, key):
+    return blake2b(body, digest_size=TAG_BYTES, key=key).digest()
--- /dev/null
+++ b/cornelgap/platform/keys.py
@@ -0,0 +1,46 @@
+"""The key under which instances talk to each other, kept in the store."""
+
+import logging
+import secrets
+
+from cornelgap.platform.store import Conflict, StoreError
+
+KIND = 'cornelgap-keys'
+NAME = 'peers'
+KEY_BYTES = 32
+RETRY_S = 0.5
+_LOG = logging.getLogger('cornelgap.node')
+
+
+def learn_key(client, pause):
+    """Read the key, or make it if this is the first instance ever.
+
+    Tries until the store answers; until then the instance works alone.
+
+    :param client: :class:`~cornelgap.platform.store.StoreClient`.
+    :param pause: function that sleeps for some seconds.
+    :returns: bytes.
+    """
+    failing = False
+    while True:
+        try:
+            return _read_or_make(client)
+        except (StoreError, KeyError, TypeError, ValueError) as exc:
+            if not failing:
+                _LOG.warning('node: no key yet', extra={'error': repr(exc)})
+            failing = True
+            client.close()
+            pause(RETRY_S)
+
+
+def _read_or_make(client):
+    found = client.read_object(KIND, NAME)
+    if found is None:
+        made = {'key': secrets.token_hex(KEY_BYTES)}
+        try:
+            found = client.create_object(KIND, NAME, made)
+        except Conflict:
+            # Another instance was first; its key holds for all.
+            found = client.read_object(KIND, NAME)
+    client.close()
+    return bytes.fromhex(found['spec']['key'])
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -8,16 +8,27 @@
 import threading
 import time
 
-from cornelgap.forwarding.directory_actor import DIRECTORY, DirectoryActor
+from cornelgap.decisions.following import compute_wait
+from cornelgap.forwarding import fetcher
+from cornelgap.forwarding.directory_actor import (
+    DIRECTORY,
+    FOLLOWERS,
+    AnnounceLeaving,
+    DirectoryActor,
+    KeyKnown,
+    ReadSnapshot,
+)
 from cornelgap.forwarding.engine import Engine
 from cornelgap.forwarding.facts import read_clock
-from cornelgap.forwarding.follower import Follow, Follower
+from cornelgap.forwarding.follower import Follower
 from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
 from cornelgap.kernel.logs import configure_logs
 from cornelgap.platform import layout
+from cornelgap.platform.keys import learn_key
 from cornelgap.platform.readiness import make_server
 from cornelgap.platform.settings import VARIABLE, load_node_settings
 from cornelgap.platform.sources import RoutesSource, TargetsSource
+from cornelgap.platform.store import StoreClient
 
 EXIT_SETTINGS = 2
 ROUTERS_S = 1.3
@@ -36,6 +47,7 @@
     layout.encode_reset,
     layout.format_ip,
 )
+SOURCES = {'routes': RoutesSource, 'targets': TargetsSource}
 _LOG = logging.getLogger('cornelgap.node')
 
 
@@ -48,6 +60,7 @@
         self.complete = threading.Event()
         self.leaving = threading.Event()
         self._packets = None
+        self._directory = None
 
     @classmethod
     def from_settings(cls, settings):
@@ -61,26 +74,43 @@
     def start(self):
         """Start all tasks."""
         settings = self.settings
+        name = settings.name
         rng = random.Random()
+        wait_s = compute_wait(min(settings.apply_s, settings.drain_s))
+        port = settings.inner_ports[0]
         engine = Engine(settings.zone, rng)
-        name = settings.name
         self._packets = PacketActor.start(
-            name, engine, CODEC, settings.packets
+            name, engine, CODEC, settings.packets, DIRECTORY
         )
-        DirectoryActor.start(name, self.complete.set)
-        for kind, source in (
-            ('routes', RoutesSource.from_settings(settings)),
-            ('targets', TargetsSource.from_settings(settings)),
-        ):
-            follower = Follower.start(
-                name, kind, source, DIRECTORY, rng, time.sleep
+        fetcher.Fetcher.start(name, port, DIRECTORY)
+        for kind in FOLLOWERS:
+            source = SOURCES[kind].from_settings(settings)
+            Follower.start(
+                name, kind, source, DIRECTORY, wait_s, rng, time.sleep
             )
-            follower.tell(Follow(active=True))
-        server = make_server(settings.ready, self.is_ready)
-        threading.Thread(target=server.serve_forever, daemon=True).start()
+        self._directory = DirectoryActor.start(
+            (name, settings.zone, settings.host),
+            port,
+            settings.seeds,
+            wait_s,
+            rng,
+            self.complete.set,
+        )
+        address = (settings.host, port)
+        _serve(fetcher.make_server(address, self._read_snapshot))
+        _serve(make_server(settings.ready, self.is_ready))
+        threading.Thread(target=self._learn_key, daemon=True).start()
+
+    def _read_snapshot(self):
+        return self._directory.ask(ReadSnapshot(), timeout=fetcher.FETCH_S)
+
+    def _learn_key(self):
+        key = learn_key(StoreClient.from_settings(self.settings), time.sleep)
+        self._directory.tell(KeyKnown(key))
 
     def leave(self):
         """Forward until routers have let go; returns when that is so."""
+        self._directory.tell(AnnounceLeaving())
         began = read_clock()
         last = began + self.settings.grace_s - SPARE_S
         time.sleep(ROUTERS_S)
@@ -91,6 +121,10 @@
             time.sleep(QUIET_S / 4)
 
 
+def _serve(server):
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+
+
 def main():
     """Run one instance until SIGTERM."""
     settings, errors = load_node_settings(os.environ.get(VARIABLE, ''))
--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -109,6 +109,13 @@
             query = {'after': page[-1]['meta']['name']}
         raise StoreError('the listing does not end', answered=True)
 
+    def read_object(self, kind, name):
+        """Read one object.
+
+        :returns: the object, or None if there is none.
+        """
+        return self._call('GET', f'{kind}/{quote(name)}', {})
+
     def watch_objects(self, kind, revision, wait_s):
         """Wait for changes after a revision.
 
@@ -155,6 +162,8 @@
         except (OSError, http.client.HTTPException, ValueError) as exc:
             self.close()
             raise StoreError(repr(exc), answered=False) from exc
+        if status == 404:
+            return None
         if status in {200, 201}:
             return content
         raise _make_error(status, content)
