Give up targets that answer nobody, on evidence pooled in the zone

Change: repeats of callers count against a target, acknowledgements for it; instances tell their zone of both; three flows and 0.4 s without an answer reset its flows at once. A far target counts 1.5 times and 2 flows. Ruled out by traces: a request that acknowledges an old answer is no sign of life (it hid a crash for 0.5 s); the first packet seen of a flow is none either.

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -1,25 +1,25 @@
 """Whether a target answers, judged by the flows that it carries.
 
-Load pattern: a target crashes or is cut off.  Its registration stays for
-three heartbeats, seconds in which each new flow that is placed on it is
-lost for its caller's whole first try.  Registrations and health endpoints
-lag or mislead; a caller that repeats its SYN, or its data, does not: the
-target did not answer it.
-
-A single repeat proves little, since packets are lost on the way.  Repeats
-of several flows without one answer in between do.
+Load pattern: a target crashes, or the network to it is cut.  Its
+registration stays for three heartbeats, seconds in which each new flow that
+is placed on it, and each request of the flows that it held, is lost for its
+caller's whole deadline.  Registrations and health endpoints lag or mislead;
+a caller that repeats its SYN or its data does not: nothing came back.
+
+One repeat proves little, since packets are lost on the way and work may
+take longer than a caller waits before it repeats.  Repeats of several flows
+without a single answer to anybody in between do.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-STRIKES = 2
-"""Flows that repeat without any answer in between before a target is
-avoided.  At 1% loss on each way two of them meet once in 2,500 flows."""
+AVOID_FLOWS = 2
+"""Flows that repeat without any answer in between before a target gets no
+new flow.  At 1% loss on each way two of them meet once in 2,500 flows."""
 
 AVOID_S = 1.0
-"""Time without new flows after the strikes; then the next flow is a probe.
-A crashed target's registration lapses within 4 s, so at most four probes
-are lost."""
+"""Time without new flows; then the next flow is a probe.  A crashed
+target's registration lapses within 4 s, so few probes are lost."""
 
 LONGEST_AVOID_S = 4.0
 
@@ -27,10 +27,26 @@
 """A repeat counts only if the target has not answered anybody for so long:
 callers repeat after 200 ms, a busy target answers several flows in that."""
 
+SILENT_FLOWS = 3
+SILENT_S = 0.4
+"""Flows that repeat, and time without one answer, before the flows that a
+target holds are given up.  A live target confirms a repeated packet at
+once, however long its work takes; three flows in that time do not all miss
+it by chance.  On an undisturbed day not one repeat was seen."""
+
+SILENT_HOLD_S = 3.0
+"""Time after the last repeat for which a target still counts as silent."""
+
 
 @dataclass(slots=True)
 class _Record:
-    strikes: int = 0
+    """What flows say of one target since its last answer.
+
+    :param repeats: time of the last repeat by flow.
+    """
+
+    repeats: dict = field(default_factory=dict)
+    repeated_at: float = 0.0
     answered_at: float = 0.0
     avoided_until: float = 0.0
     avoided: int = 0
@@ -43,33 +59,65 @@
         """Trust everybody."""
         self._records = {}
 
-    def note_repeat(self, key, now):
-        """Note that a caller repeated what it had sent to a target."""
+    def note_repeat(self, key, flow, now):
+        """Note that a caller repeated what it had sent to a target.
+
+        :param flow: hashable name of the caller's flow.
+        :returns: whether it speaks against the target.
+        """
         record = self._records.setdefault(key, _Record())
         if now - record.answered_at < ANSWER_S:
-            return
-        record.strikes += 1
-        if record.strikes >= STRIKES and now >= record.avoided_until:
+            return False
+        record.repeats[flow] = now
+        record.repeated_at = now
+        enough = len(record.repeats) >= AVOID_FLOWS
+        if enough and now >= record.avoided_until:
             length = min(AVOID_S * 2**record.avoided, LONGEST_AVOID_S)
             record.avoided_until = now + length
             record.avoided += 1
+        return True
 
-    def note_answer(self, key, now):
-        """Note that an answer of a target has shown."""
+    def note_answer(self, key, answered_at):
+        """Note that an answer of a target has shown.
+
+        :param answered_at: time since which the target has answered, as far
+            as it is known; the past where a caller told of it late.
+        """
         record = self._records.get(key)
         if record is None:
             record = self._records[key] = _Record()
-        record.answered_at = now
-        if record.strikes or record.avoided:
-            record.strikes = 0
+        if answered_at <= record.answered_at:
+            return
+        record.answered_at = answered_at
+        if record.repeated_at <= answered_at:
+            record.repeats.clear()
             record.avoided = 0
             record.avoided_until = 0.0
 
+    def has_answered(self, key, now):
+        """Say whether an answer has shown so lately that it is alive."""
+        record = self._records.get(key)
+        return record is not None and now - record.answered_at < SILENT_S
+
     def is_avoided(self, key, now):
         """Say whether a target should get no new flow now."""
         record = self._records.get(key)
         return record is not None and now < record.avoided_until
 
+    def is_silent(self, key, now):
+        """Say whether a target answers nobody any more."""
+        record = self._records.get(key)
+        return (
+            record is not None
+            and len(record.repeats) >= SILENT_FLOWS
+            and now - record.answered_at >= SILENT_S
+            and now - record.repeated_at < SILENT_HOLD_S
+        )
+
+    def clear(self):
+        """Forget all that was noted, as after a standstill of our own."""
+        self._records = {}
+
     def keep(self, keys):
         """Forget all targets but these."""
         for key in self._records.keys() - keys:
--- a/cornelgap/decisions/target_choice.py
+++ b/cornelgap/decisions/target_choice.py
@@ -20,8 +20,8 @@
 """A target that has just started works this much slower (the users' sheets:
 1.6 times for two seconds)."""
 
-FAR_FACTOR = 1.25
-FAR_FLOWS = 1.0
+FAR_FACTOR = 1.5
+FAR_FLOWS = 2.0
 """A target of another availability zone looks this much more loaded, in
 flows a slot.  When a zone is cut off, its callers lose the flows that they
 have beyond the cut, and bytes between zones cost; but a zone with few
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -12,6 +12,7 @@
 
 from cornelgap.core.errors import CodedError
 from cornelgap.decisions.following import Following
+from cornelgap.decisions.pacing import Pacer
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.directory import Directory
 from cornelgap.forwarding.facts import (
@@ -26,7 +27,9 @@
 from cornelgap.forwarding.packet_actor import (
     FORWARDING,
     AdoptView,
+    EvidenceSeen,
     LoadSeen,
+    OthersEvidence,
     OthersLoad,
 )
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
@@ -39,6 +42,10 @@
 BEAT_S = 0.5
 """Seconds between two beats at most; news go out at once."""
 
+EVIDENCE_PER_S = 20
+"""Beats a second about targets that do not answer, at most.  When links
+lose packets every flow repeats, and reports of it would fill them too."""
+
 WAKE_S = 0.75
 """After a standstill of so long, datagrams that lie in the socket state
 ages that are no longer true."""
@@ -92,12 +99,14 @@
         self._changes_at = None
         self._beat_at = float('-inf')
         self._turn_at = read_clock()
+        self._evidence = Pacer(EVIDENCE_PER_S, EVIDENCE_PER_S)
         self._loads = {}
         self._reported = {}
         self.counts = Counter()
         self.actor_inbox.add_socket(self._sock)
         self.handlers = {
             AnnounceLeaving: self._announce_leaving,
+            EvidenceSeen: self._take_evidence,
             KeyKnown: self._take_key,
             LoadSeen: self._take_loads,
             ReadSnapshot: self._give_snapshot,
@@ -184,6 +193,9 @@
         self._neighbours.note_beat(beat, self._turn_at)
         if beat.hello:
             self._send_beat([host], beat.zone)
+        if beat.repeats or beat.answers:
+            found = OthersEvidence(beat.name, beat.repeats, beat.answers)
+            tell_service(self.scope, FORWARDING, found)
         if not beat.leaving:
             self._compare(beat, changes)
 
@@ -366,6 +378,15 @@
             self._neighbours.list_all_near(), self._own[1], leaving=True
         )
 
+    def _take_evidence(self, message):
+        if self._evidence.take(self._turn_at, urgent=True):
+            self._send_beat(
+                self._neighbours.list_all_near(),
+                self._own[1],
+                repeats=message.repeats,
+                answers=message.answers,
+            )
+
     # Small messages.
 
     def _take_key(self, message):
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -52,6 +52,8 @@
         self.flows = FlowTable()
         self._others = {}
         self._instances = 1
+        self._evidence = []
+        self._silent = set()
         self._opens = Average(OPEN_SHARE)
         self._opens_second = 0
         self._opens_count = 0
@@ -69,6 +71,30 @@
         if as_of >= self._distrusted_at:
             self._distrusted_at = float('-inf')
 
+    def give_up_silent(self, now):
+        """Return tuples (flow key, its :class:`Reset`) that are due now.
+
+        Callers that wait for a target which has just fallen silent would
+        otherwise learn it only with their next repeat, after up to 0.8 s.
+        """
+        silent = {
+            cookie
+            for cookie in self.flows.loads
+            if self.health.is_silent(cookie, now)
+        }
+        fresh = silent - self._silent
+        self._silent = silent
+        if not fresh:
+            return []
+        return [
+            (key, Reset(acked, Reason.TARGET_SILENT))
+            for key, acked in self.flows.list_waiting(fresh)
+        ]
+
+    def read_age(self, now):
+        """Return the age of the directory in seconds, for logs."""
+        return round(now - self.fresh_until + FRESH_S, 3)
+
     def note_others(self, loads, instances):
         """Note the flows on targets that other instances see.
 
@@ -78,6 +104,28 @@
         self._others = loads
         self._instances = instances
 
+    def take_evidence(self):
+        """Return [cookie, flow number] of repeats since the last call."""
+        found, self._evidence = self._evidence, []
+        return found
+
+    def note_evidence(self, instance, repeats, answers, now):
+        """Note what flows through another instance say of targets.
+
+        :param repeats: lists [cookie, flow number].
+        :param answers: cookies of targets that have answered there.
+        :returns: cookies that have repeats there and answers here.
+        """
+        for cookie in answers:
+            self.health.note_answer(cookie, now)
+        alive = []
+        for cookie, flow in repeats:
+            if self.health.has_answered(cookie, now):
+                alive.append(cookie)
+            else:
+                self.health.note_repeat(cookie, (instance, flow), now)
+        return alive
+
     def distrust(self, now):
         """Place no flow until the directory is confirmed after this time.
 
@@ -85,6 +133,7 @@
         begun to drain, a route may be dropped.  Open flows go on.
         """
         self._distrusted_at = now
+        self.health.clear()
 
     def handle(self, packet, now, late=False):
         """Decide on one packet.
@@ -131,7 +180,7 @@
         """Return the cookies of targets that did not answer this SYN."""
         if known is None or known.pinned or not packet.ack:
             return ()
-        self.health.note_repeat(known.cookie, now)
+        self._note_repeat(known.cookie, packet, now)
         return (*known.tried, known.cookie)
 
     def _place(self, service, tried, now):
@@ -196,6 +245,10 @@
         if target is None:
             return self._refuse(packet, cookie, known, now)
         self._note_packet(packet, cookie, known, now)
+        if self.health.is_silent(cookie, now):
+            # Waiting would cost the caller its whole deadline; after a
+            # reset it opens a flow on a target that answers.
+            return Reset(packet.ack, Reason.TARGET_SILENT)
         return Forward(target, Reason.KNOWN)
 
     def _refuse(self, packet, cookie, known, now):
@@ -216,17 +269,25 @@
             return Forward(target, Reason.KNOWN)
         return Reset(packet.ack, Reason.TARGET_GONE)
 
+    def _note_repeat(self, cookie, packet, now):
+        if self.health.note_repeat(cookie, packet.flow, now):
+            self._evidence.append([cookie, packet.source_port])
+
+    def _note_answer(self, cookie, packet, known, now):
+        # A packet without data is sent at the moment when an answer came.
+        # One with data is a new request, which may acknowledge an answer
+        # of long ago; all it proves is that the last request was answered.
+        answered_at = known.waiting_since if packet.size else now
+        self.health.note_answer(cookie, answered_at)
+
     def _note_packet(self, packet, cookie, known, now):
-        repeated = (
-            known is not None
-            and packet.size
-            and known.sent == packet.seq + packet.size
-            and known.acked == packet.ack
-        )
-        if repeated:
-            self.health.note_repeat(cookie, now)
-        elif known is None or known.acked != packet.ack or not known.pinned:
-            self.health.note_answer(cookie, now)
+        # The first packet that is seen of a flow says nothing: whatever it
+        # acknowledges may have been answered long ago.
+        if known is not None:
+            if known.acked != packet.ack or not known.pinned:
+                self._note_answer(cookie, packet, known, now)
+            elif packet.size and known.sent == packet.seq + packet.size:
+                self._note_repeat(cookie, packet, now)
         closing = bool(packet.flags & (pkt.FIN | pkt.RST))
         self.flows.note_packet(packet.flow, packet, cookie, closing, now)
 
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -87,6 +87,14 @@
             if load.flows
         }
 
+    def list_waiting(self, cookies):
+        """Return (key, last acknowledgement) of flows that wait for targets."""
+        return [
+            (key, flow.acked)
+            for key, flow in self._flows.items()
+            if flow.waiting_since and flow.cookie in cookies
+        ]
+
     def note_open(self, key, cookie, now):
         """Note that a SYN was sent to a target."""
         flow = self._flows.get(key)
@@ -108,6 +116,7 @@
         if flow is None:
             flow = self._add(key, cookie, now)
             flow.acked = packet.ack
+            flow.pinned = True
         elif not flow.pinned and flow.cookie != cookie:
             self._move(flow, cookie)
         self._note_progress(flow, packet, now)
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -10,7 +10,7 @@
 
 from cornelgap.core.errors import CodedError
 from cornelgap.forwarding.facts import read_clock
-from cornelgap.forwarding.packets import Drop, Forward
+from cornelgap.forwarding.packets import SYN, Drop, Forward, Reason, Reset
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
@@ -25,6 +25,14 @@
 READ_BATCH = 256
 DATAGRAM_BYTES = 2048
 RECEIVE_BUFFER = 1024 * 1024
+PLACED_SAMPLE = 50
+"""One of so many ordinary openings gets a line; all others are counted."""
+
+_TEXTS = {
+    Forward: 'forwarding: flow placed',
+    Reset: 'forwarding: flow reset',
+    Drop: 'forwarding: packet dropped',
+}
 _LOG = logging.getLogger('cornelgap.forwarding')
 
 
@@ -62,6 +70,27 @@
     instances: int
 
 
+@dataclass(frozen=True, slots=True)
+class EvidenceSeen:
+    """Message: what flows through this instance say of targets.
+
+    :param repeats: lists [cookie, flow number] of callers that repeated.
+    :param answers: cookies of targets that have answered.
+    """
+
+    repeats: list
+    answers: list
+
+
+@dataclass(frozen=True, slots=True)
+class OthersEvidence:
+    """Message: the same of another instance, by its name."""
+
+    instance: str
+    repeats: list
+    answers: list
+
+
 @dataclass(frozen=True, slots=True)
 class ReadCounts:
     """Message: give counts and the time of the last packet; asked."""
@@ -73,7 +102,7 @@
 
     :param decode: bytes to packet; raises :class:`CodedError`.
     :param encode_forward: packet and target to the datagram for the target.
-    :param encode_reset: packet and sequence number to a reset.
+    :param encode_reset: flow key and sequence number to a reset.
     :param format_ip: number to text.
     """
 
@@ -107,6 +136,7 @@
         self.actor_inbox.add_socket(self._sock)
         self.handlers = {
             AdoptView: self._adopt_view,
+            OthersEvidence: self._take_evidence,
             OthersLoad: self._take_others,
             Readable: self._read,
             ReadCounts: self._give_counts,
@@ -143,6 +173,25 @@
         self._engine.note_fresh(message.as_of)
 
     def _read(self, _message):
+        self._read_batch()
+        repeats = self._engine.take_evidence()
+        if repeats:
+            self._tell(EvidenceSeen(repeats, []))
+            self._give_up_silent()
+
+    def _give_up_silent(self):
+        for key, reset in self._engine.give_up_silent(self._turn_at):
+            self.counts[reset.reason] += 1
+            self._send_reset(key, reset.seq)
+            _LOG.info(
+                _TEXTS[Reset], extra={'flow': key, 'why': reset.reason}
+            )
+
+    def _send_reset(self, key, seq):
+        caller = (self._codec.format_ip(key[0]), self._port)
+        self._send(self._codec.encode_reset(key, seq), caller)
+
+    def _read_batch(self):
         for _ in range(READ_BATCH):
             try:
                 raw = self._sock.recv(DATAGRAM_BYTES)
@@ -166,25 +215,34 @@
             return
         effect = self._engine.handle(packet, now, self._woken)
         self.counts[effect.reason] += 1
-        if isinstance(effect, Drop):
-            return
+        if effect.reason is not Reason.KNOWN:
+            self._log_effect(packet, effect)
         if isinstance(effect, Forward):
             target = effect.target
             datagram = self._codec.encode_forward(packet, target)
             self._send(datagram, target.address)
+        elif isinstance(effect, Reset):
+            self._send_reset(packet.flow, effect.seq)
+
+    def _log_effect(self, packet, effect):
+        if effect.reason is Reason.PLACED and not self._is_sampled():
             return
-        datagram = self._codec.encode_reset(packet, effect.seq)
-        caller = (self._codec.format_ip(packet.source), self._port)
-        self._send(datagram, caller)
+        target = effect.target if isinstance(effect, Forward) else None
         _LOG.info(
-            'forwarding: flow reset',
+            _TEXTS[type(effect)],
             extra={
                 'flow': packet.flow,
                 'why': effect.reason,
+                'copy': packet.ack if packet.flags & SYN else None,
                 'cookie': packet.cookie,
+                'target': target.name if target else None,
+                'age_s': self._engine.read_age(self._turn_at),
             },
         )
 
+    def _is_sampled(self):
+        return self.counts[Reason.PLACED] % PLACED_SAMPLE == 1
+
     def _send(self, datagram, address):
         try:
             self._sock.sendto(datagram, address)
@@ -192,13 +250,24 @@
             # The network is full or gone; the caller repeats.
             self.counts[f'unsent_{exc.errno}'] += 1
 
+    def _take_evidence(self, message):
+        alive = self._engine.note_evidence(
+            message.instance, message.repeats, message.answers, self._turn_at
+        )
+        if alive:
+            self._tell(EvidenceSeen([], alive))
+        self._give_up_silent()
+
+    def _tell(self, message):
+        tell_service(self.scope, self._receiver, message)
+
     def _take_others(self, message):
         self._engine.note_others(message.loads, message.instances)
 
     def _tick(self, _message):
         self._engine.expire(self._turn_at)
         loads = self._engine.flows.count_flows()
-        tell_service(self.scope, self._receiver, LoadSeen(loads))
+        self._tell(LoadSeen(loads))
 
     def _give_counts(self, _message):
         return dict(self.counts), self._packet_at
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -61,6 +61,7 @@
     NO_ROUTE = 'no_route'
     ROUTE_DROPPED = 'route_dropped'
     NO_TARGET = 'no_target'
+    TARGET_SILENT = 'target_silent'
     TARGET_GONE = 'target_gone'
     NOT_FRESH = 'not_fresh'
     STALE_OPEN = 'stale_open'
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -9,7 +9,7 @@
 import hmac
 import json
 import zlib
-from dataclasses import asdict, dataclass, field, fields
+from dataclasses import dataclass, field, fields
 from hashlib import blake2b
 
 from cornelgap.core.errors import Code, CodedError
@@ -42,6 +42,8 @@
     :param loads: flows by cookie that the sender has seen.
     :param zone_loads: the same for its whole zone; None if it is no hub.
     :param far_loads: the same for all other zones, if known.
+    :param repeats: lists [cookie, flow number] of callers that repeated.
+    :param answers: cookies of targets that answer nevertheless.
     :param members: lists [name, zone, host] of instances heard lately.
     """
 
@@ -63,10 +65,16 @@
     loads: dict = field(default_factory=dict)
     zone_loads: dict | None = None
     far_loads: dict = field(default_factory=dict)
+    repeats: list = field(default_factory=list)
+    answers: list = field(default_factory=list)
     members: list = field(default_factory=list)
 
 
-_KNOWN = frozenset(item.name for item in fields(Beat))
+_ORDER = tuple(item.name for item in fields(Beat))
+_KNOWN = frozenset(_ORDER)
+_EMPTY = (None, [], {})
+"""Values that a beat leaves out, as its defaults say the same."""
+
 _NUMBERS = (
     'boot',
     'routes_revision',
@@ -79,9 +87,9 @@
 def encode_beat(beat, key):
     """Encode a beat under a key of 16 to 64 bytes."""
     content = {
-        name: value
-        for name, value in asdict(beat).items()
-        if value or name in {'name', 'zone', 'host', 'boot'} or value == 0
+        name: getattr(beat, name)
+        for name in _ORDER
+        if getattr(beat, name) not in _EMPTY
     }
     return seal(json.dumps(content, separators=(',', ':')).encode(), key)
 
@@ -254,7 +262,11 @@
         age is None or (isinstance(age, (int, float)) and age >= 0)
         for age in (beat.routes_age, beat.targets_age)
     )
-    lists = isinstance(beat.changes, list) and _are_members(beat.members)
+    lists = (
+        isinstance(beat.changes, list)
+        and _are_members(beat.members)
+        and _are_evidence(beat.repeats, beat.answers)
+    )
     if not (texts and numbers and ages and lists):
         raise CodedError(Code.PKT_FIELD, 'a field of another type', 'beat')
 
@@ -268,6 +280,20 @@
     )
 
 
+def _are_evidence(repeats, answers):
+    return (
+        isinstance(repeats, list)
+        and isinstance(answers, list)
+        and all(isinstance(item, int) for item in answers)
+        and all(
+            isinstance(item, list)
+            and len(item) == 2
+            and all(isinstance(part, int) for part in item)
+            for item in repeats
+        )
+    )
+
+
 def _read_loads(loads, name):
     if loads is None:
         return None
--- a/cornelgap/kernel/logs.py
+++ b/cornelgap/kernel/logs.py
@@ -74,6 +74,44 @@
         return count < REPEAT_COUNT
 
 
+class RateFilter(logging.Filter):
+    """Lets through a number of lines a second, then counts them silently.
+
+    For a process whose every abnormal decision has a line of its own: a
+    disturbance of thousands of flows must not fill the log collector.
+
+    :param per_s: lines a second; warnings and errors may take twice that.
+    :param now: clock in seconds.
+    """
+
+    def __init__(self, per_s, now=time.monotonic):
+        """Begin a second."""
+        super().__init__()
+        self._per_s = per_s
+        self._now = now
+        self._second = None
+        self._count = 0
+        self._suppressed = 0
+
+    def filter(self, record):
+        """Say whether a record passes."""
+        second = int(self._now())
+        if second != self._second:
+            self._second = second
+            self._count = 0
+        limit = self._per_s
+        if record.levelno >= logging.WARNING:
+            limit = 2 * self._per_s
+        self._count += 1
+        if self._count > limit:
+            self._suppressed += 1
+            return False
+        if self._suppressed:
+            record.suppressed = self._suppressed
+            self._suppressed = 0
+        return True
+
+
 def check_levels(options):
     """Check the section ``[logs]`` of a process's settings.
 
@@ -101,12 +139,16 @@
     return errors
 
 
-def configure_logs(options, instance='', stream=None, now=time.monotonic):
+def configure_logs(
+    options, instance='', stream=None, now=time.monotonic, limit=None
+):
     """Send all logs of the process to a stream.
 
     :param options: section ``[logs]``, checked by :func:`check_levels`.
     :param instance: name that each line bears.
     :param stream: standard error by default.
+    :param limit: filter that bounds the volume; equal messages are counted
+        by default.
     :returns: the handler.
     """
     handler = logging.StreamHandler(stream or sys.stderr)
@@ -117,7 +159,7 @@
             static_fields={'instance': instance} if instance else None,
         )
     )
-    handler.addFilter(RepeatFilter(now))
+    handler.addFilter(limit or RepeatFilter(now))
     root = logging.getLogger()
     for old in list(root.handlers):
         root.removeHandler(old)
--- a/cornelgap/platform/layout.py
+++ b/cornelgap/platform/layout.py
@@ -69,13 +69,17 @@
     ))
 
 
-def encode_reset(packet, seq):
-    """Make a reset from the route's address to the caller's."""
+def encode_reset(flow, seq):
+    """Make a reset from the route's address to the caller's.
+
+    :param flow: the flow's key, as packets have it.
+    """
+    source, source_port, destination, destination_port = flow
     return HEAD.pack(
-        packet.source_port,
-        packet.destination,
-        packet.source,
-        packet.destination_port,
+        source_port,
+        destination,
+        source,
+        destination_port,
         WIRE_RST,
         0,
         seq,
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -22,7 +22,7 @@
 from cornelgap.forwarding.facts import read_clock
 from cornelgap.forwarding.follower import Follower
 from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
-from cornelgap.kernel.logs import configure_logs
+from cornelgap.kernel.logs import RateFilter, configure_logs
 from cornelgap.platform import layout
 from cornelgap.platform.keys import learn_key
 from cornelgap.platform.readiness import make_server
@@ -31,6 +31,9 @@
 from cornelgap.platform.store import StoreClient
 
 EXIT_SETTINGS = 2
+LOG_LINES_PER_S = 100
+"""About 30 KB a second at most."""
+
 ROUTERS_S = 1.3
 """Time in which routers notice that an instance is not ready: two missed
 questions, half a second apart, and some way."""
@@ -132,7 +135,9 @@
         print(exc, file=sys.stderr)
     if errors:
         sys.exit(EXIT_SETTINGS)
-    configure_logs({}, settings.name, sys.stdout)
+    configure_logs(
+        {}, settings.name, sys.stdout, limit=RateFilter(LOG_LINES_PER_S)
+    )
     node = Node.from_settings(settings)
     signal.signal(signal.SIGTERM, lambda *_: node.leaving.set())
     signal.signal(signal.SIGHUP, lambda *_: None)
