--- a/bench/mutation.py
+++ b/bench/mutation.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 FEATURES = (
     'features/proof_traps.feature',
+    'features/forwarding_traps.feature',
     'features/proof_differential.feature',
     'features/proof_world.feature',
 )
--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -46,9 +46,9 @@
     """
 
     repeats: dict = field(default_factory=dict)
-    repeated_at: float = 0.0
-    answered_at: float = 0.0
-    avoided_until: float = 0.0
+    repeated_at: float = 0
+    answered_at: float = 0
+    avoided_until: float = 0
     avoided: int = 0
 
 
@@ -92,7 +92,7 @@
         if record.repeated_at <= answered_at:
             record.repeats.clear()
             record.avoided = 0
-            record.avoided_until = 0.0
+            record.avoided_until = 0
 
     def has_answered(self, key, now):
         """Say whether an answer has shown so lately that it is alive."""
--- a/cornelgap/decisions/target_choice.py
+++ b/cornelgap/decisions/target_choice.py
@@ -70,7 +70,7 @@
     )
     level = _find_level(ranked, max(poured, 1.0))
     shares = [
-        max(0.0, level - cost) * max(1, item.target.slots)
+        max(0, level - cost) * max(1, item.target.slots)
         for cost, _, item in ranked
     ]
     return rng.choices(ranked, shares)[0][2].target
@@ -79,7 +79,7 @@
 def _find_level(ranked, poured):
     """Return the level, in flows a slot, to which the water rises."""
     slots = 0
-    weighed = 0.0
+    weighed = 0
     for position, (cost, _, item) in enumerate(ranked):
         own = max(1, item.target.slots)
         slots += own
--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -87,6 +87,34 @@
     return folded or 0xFFFFFFFF
 
 
+def is_newer(revision, known):
+    """Say whether a fact replaces a known one, by the store's revisions.
+
+    A list that a lagging replica served, or a watch that repeats itself,
+    must not bring back what a later version dropped.
+    """
+    return revision > known
+
+
+def takes_flows(target):
+    """Say whether a target may get new flows; a draining one ends soon."""
+    return not target.draining
+
+
+def compute_gone_at(target, now, outage_until):
+    """Return when a target whose registration vanished counts as gone.
+
+    While the store was away the target could not renew its registration;
+    it may be alive and hold flows.  Were they reset, callers would lose
+    answers that are on their way.
+
+    :param outage_until: time until which registrations may come back.
+    """
+    if not target.draining and now < outage_until:
+        return outage_until
+    return now
+
+
 @dataclass(slots=True)
 class _Vanished:
     """A target without a registration.
@@ -120,7 +148,7 @@
         self._targets = {}
         self._seen_at = {}
         self._vanished = {}
-        self._outage_until = 0.0
+        self._outage_until = 0
 
     @property
     def complete(self):
@@ -134,9 +162,7 @@
         :returns: whether anything changed.
         """
         self.routes_as_of = max(as_of, self.routes_as_of or as_of)
-        if revision <= self.routes_revision:
-            # A list that a lagging replica served, or a watch that repeats
-            # itself, must not bring back what a later version dropped.
+        if not is_newer(revision, self.routes_revision):
             return False
         self.routes_revision = revision
         fresh = {(route.address, route.port): route for route in routes}
@@ -214,10 +240,10 @@
                 gone[target.cookie] = target
                 continue
             fallback.setdefault(target.service, []).append(target)
-            _add_cookie(by_cookie, target)
+            add_cookie(by_cookie, target)
         for target in self._targets.values():
-            _add_cookie(by_cookie, target)
-            if not target.draining:
+            add_cookie(by_cookie, target)
+            if takes_flows(target):
                 by_service.setdefault(target.service, []).append(target)
         return View(
             routes=self._routes,
@@ -255,7 +281,7 @@
         }
 
     def _put(self, name, target, revision):
-        if revision <= self._seen_at.get(name, 0):
+        if not is_newer(revision, self._seen_at.get(name, 0)):
             return False
         self._seen_at[name] = revision
         self._vanished.pop(name, None)
@@ -272,16 +298,12 @@
 
     def _forget(self, name, now):
         target = self._targets.pop(name)
-        gone_at = now
-        if not target.draining and now < self._outage_until:
-            # While the store was away the target could not renew its
-            # registration; it may be alive and hold flows.  Reset them and
-            # callers lose answers that were on their way.
-            gone_at = self._outage_until
+        gone_at = compute_gone_at(target, now, self._outage_until)
         self._vanished[name] = _Vanished(target, gone_at)
 
 
-def _add_cookie(by_cookie, target):
+def add_cookie(by_cookie, target):
+    """Add a target to a table by cookie; None marks a cookie of two."""
     known = by_cookie.get(target.cookie, target)
     if known is not None and known.identity != target.identity:
         # Two targets behind one cookie: whichever is taken, some packet
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -5,6 +5,7 @@
 change and hears how fresh it is.
 """
 
+import enum
 import logging
 import socket
 from collections import Counter
@@ -71,6 +72,15 @@
     """Message: tell the others that this instance ends."""
 
 
+class _News(enum.Enum):
+    """What a beat means for this instance's own facts."""
+
+    NONE = 'none'
+    CONFIRMED = 'confirmed'
+    CHANGED = 'changed'
+    BEHIND = 'behind'
+
+
 class DirectoryActor(Service):
     """Keeps the newest facts and spreads them.
 
@@ -146,9 +156,7 @@
             directory.confirm_routes(fact.as_of)
             self._spread(changed=False)
             return
-        changed = directory.adopt_routes(
-            fact.routes, fact.revision, fact.as_of
-        )
+        changed = directory.adopt_routes(fact.routes, fact.revision, fact.as_of)
         self._log_routes(changed, 'store')
         self._spread(changed)
 
@@ -201,35 +209,43 @@
 
     def _compare(self, beat, changes):
         """Take from a beat what it says of the directory."""
+        news = [
+            self._compare_routes(beat),
+            self._compare_targets(beat, changes),
+        ]
+        if _News.BEHIND in news:
+            tell_service(self.scope, FETCHER, Fetch(beat.host, self._key))
+        if _News.CHANGED in news or _News.CONFIRMED in news:
+            self._tell(_News.CHANGED in news)
+
+    def _compare_routes(self, beat):
+        directory = self._directory
+        if beat.routes_age is None:
+            return _News.NONE
+        if beat.routes_revision > directory.routes_revision:
+            return _News.BEHIND
+        if beat.routes_revision < directory.routes_revision:
+            return _News.NONE
+        directory.confirm_routes(self._turn_at - beat.routes_age)
+        return _News.CONFIRMED
+
+    def _compare_targets(self, beat, changes):
         directory = self._directory
         now = self._turn_at
-        behind = False
-        changed = False
-        confirmed = False
-        if beat.routes_age is not None:
-            if beat.routes_revision == directory.routes_revision:
-                confirmed = directory.routes_as_of is not None
-                directory.confirm_routes(now - beat.routes_age)
-            behind = beat.routes_revision > directory.routes_revision
-        if beat.targets_age is not None:
-            as_of = now - beat.targets_age
-            known = directory.targets_revision
-            if directory.targets_as_of is None:
-                behind = True
-            elif beat.targets_changed <= known <= beat.targets_revision:
-                directory.apply_targets((), beat.targets_revision, as_of, now)
-                confirmed = True
-            elif changes and beat.since <= known < beat.targets_revision:
-                changed = directory.apply_targets(
-                    changes, beat.targets_revision, as_of, now
-                )
-                self._log_changes(changes, beat.name)
-            elif beat.targets_changed > known:
-                behind = True
-        if behind:
-            tell_service(self.scope, FETCHER, Fetch(beat.host, self._key))
-        if changed or confirmed:
-            self._tell(changed)
+        if beat.targets_age is None:
+            return _News.NONE
+        if directory.targets_as_of is None:
+            return _News.BEHIND
+        known = directory.targets_revision
+        as_of = now - beat.targets_age
+        if beat.targets_changed <= known <= beat.targets_revision:
+            directory.apply_targets((), beat.targets_revision, as_of, now)
+            return _News.CONFIRMED
+        if changes and beat.since <= known < beat.targets_revision:
+            directory.apply_targets(changes, beat.targets_revision, as_of, now)
+            self._log_changes(changes, beat.name)
+            return _News.CHANGED
+        return _News.BEHIND if beat.targets_changed > known else _News.NONE
 
     def _take_snapshot(self, message):
         snapshot = message.snapshot
@@ -413,9 +429,7 @@
                     'from': origin,
                     'revision': directory.routes_revision,
                     'routes': len(directory.list_routes()),
-                    'age_s': round(
-                        self._turn_at - directory.routes_as_of, 3
-                    ),
+                    'age_s': round(self._turn_at - directory.routes_as_of, 3),
                 },
             )
 
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -143,8 +143,7 @@
         """
         if not packet.flags & pkt.SYN:
             return self._carry_on(packet, now)
-        if packet.flags & (pkt.ACK | pkt.RST | pkt.FIN):
-            # Only targets send SYN+ACK, and they send it to callers.
+        if is_from_target(packet):
             return Drop(Reason.FROM_TARGET)
         if late or self._is_distrusted(now):
             return Drop(Reason.STALE_OPEN)
@@ -222,7 +221,7 @@
         load = self.flows.get_load(target.cookie)
         return Candidate(
             target,
-            load.flows + self._others.get(target.cookie, 0.0),
+            load.flows + self._others.get(target.cookie, 0),
             load.waiting,
             near=target.zone == self._zone,
             cold=now < target.cold_until,
@@ -230,12 +229,7 @@
 
     def _carry_on(self, packet, now):
         known = self.flows.find(packet.flow)
-        cookie = packet.cookie
-        if known is not None and known.pinned:
-            # Two targets may answer two copies of a SYN.  The caller
-            # acknowledges the first and carries the cookie of the last;
-            # the flow is open where the first acknowledgement went.
-            cookie = known.cookie
+        cookie = choose_cookie(packet, known)
         if not cookie:
             return Drop(Reason.NO_COOKIE)
         place = (packet.destination, packet.destination_port)
@@ -254,13 +248,11 @@
     def _refuse(self, packet, cookie, known, now):
         if cookie in self.view.by_cookie:
             return Drop(Reason.AMBIGUOUS_COOKIE)
-        if cookie not in self.view.gone:
-            # We may be behind: another instance may know this target.  A
-            # reset would break an open flow, a guess would break two.
+        if not is_gone(self.view, cookie):
             return Drop(Reason.UNKNOWN_TARGET)
         if packet.flags & pkt.RST:
             return Drop(Reason.TARGET_GONE)
-        target = self.view.gone[cookie]
+        target = self.view.gone.get(cookie)
         answered_at = self.flows.get_load(cookie).answered_at
         if target is not None and now - answered_at < ALIVE_S:
             # It answers, so only its registration is lost: a target that is
@@ -292,6 +284,39 @@
         self.flows.note_packet(packet.flow, packet, cookie, closing, now)
 
 
+def is_from_target(packet):
+    """Say whether a SYN comes from a target, or pretends to.
+
+    Only targets send SYN+ACK, and they send it to callers.  One that
+    reached a target would look as if this instance had forged it.
+    """
+    return bool(packet.flags & (pkt.ACK | pkt.RST | pkt.FIN))
+
+
+def choose_cookie(packet, known):
+    """Return the cookie of the target that holds a packet's flow.
+
+    Two targets may answer two copies of a SYN.  The caller acknowledges the
+    first and carries the cookie of the last, and its data would go to a
+    target that does not know the flow; it is open where the first
+    acknowledgement went.
+
+    :param known: the flow as seen here, or None.
+    """
+    if known is not None and known.pinned:
+        return known.cookie
+    return packet.cookie
+
+
+def is_gone(view, cookie):
+    """Say whether a target that is not in the directory has surely ended.
+
+    An instance that is new or behind does not know targets that others
+    know.  A reset would break an open flow, a guess would break two.
+    """
+    return cookie in view.gone
+
+
 def choose_service(route, packet):
     """Choose the service of a new flow by the route's weights.
 
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -38,7 +38,7 @@
     pinned: bool = False
     sent: int = 0
     acked: int = 0
-    waiting_since: float = 0.0
+    waiting_since: float = 0
     closed: bool = False
 
 
@@ -53,7 +53,7 @@
 
     flows: int = 0
     waiting: int = 0
-    answered_at: float = 0.0
+    answered_at: float = 0
 
 
 class FlowTable:
@@ -168,7 +168,7 @@
 
     def _end_wait(self, flow, load):
         if flow.waiting_since:
-            flow.waiting_since = 0.0
+            flow.waiting_since = 0
             load.waiting -= 1
 
     def _move(self, flow, cookie):
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -224,7 +224,7 @@
         _add_loads(total, beat.zone_loads)
         for cookie, flows in own.items():
             if cookie in total:
-                total[cookie] = max(0.0, total[cookie] - flows)
+                total[cookie] = max(0, total[cookie] - flows)
         return total
 
     def count_zone(self):
@@ -288,4 +288,4 @@
 
 def _add_loads(total, loads):
     for cookie, flows in loads.items():
-        total[cookie] = total.get(cookie, 0.0) + flows
+        total[cookie] = total.get(cookie, 0) + flows
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -183,9 +183,7 @@
         for key, reset in self._engine.give_up_silent(self._turn_at):
             self.counts[reset.reason] += 1
             self._send_reset(key, reset.seq)
-            _LOG.info(
-                _TEXTS[Reset], extra={'flow': key, 'why': reset.reason}
-            )
+            _LOG.info(_TEXTS[Reset], extra={'flow': key, 'why': reset.reason})
 
     def _send_reset(self, key, seq):
         caller = (self._codec.format_ip(key[0]), self._port)
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -75,6 +75,7 @@
 _EMPTY = (None, [], {})
 """Values that a beat leaves out, as its defaults say the same."""
 
+_MALFORMED = (zlib.error, KeyError, TypeError, ValueError)
 _NUMBERS = (
     'boot',
     'routes_revision',
@@ -127,18 +128,27 @@
         raise CodedError(Code.PKT_VERSION, 'another version', 'peer')
     body = raw[1 + TAG_BYTES :]
     tag = raw[1 : 1 + TAG_BYTES]
-    if not hmac.compare_digest(tag, _compute_tag(raw[:1] + body, key)):
-        # Anybody on the network can send to this port; believing one would
-        # let him send flows where he likes.
-        raise CodedError(Code.NET_FORGED, 'the tag does not fit', 'peer')
+    check_tag(tag, _compute_tag(raw[:1] + body, key))
     return body
 
 
+def check_tag(found, right):
+    """Check a keyed hash.
+
+    Anybody on the network can send to this port; believing a stranger
+    would let him send flows where he likes.
+
+    :raises CodedError: ``NET-002``.
+    """
+    if not hmac.compare_digest(found, right):
+        raise CodedError(Code.NET_FORGED, 'the tag does not fit', 'peer')
+
+
 def dump_change(name, target, revision, now):
     """Write a target, or that it has gone, as a list of plain values."""
     if target is None:
         return [name, revision]
-    cold_s = max(0.0, target.cold_until - now)
+    cold_s = max(0, target.cold_until - now)
     return [
         name,
         revision,
@@ -220,7 +230,7 @@
             content['targets_age'],
             {name: (target, revision) for name, target, revision in changes},
         )
-    except (zlib.error, KeyError, TypeError, ValueError) as exc:
+    except _MALFORMED as exc:
         raise CodedError(Code.PKT_FIELD, repr(exc), 'snapshot') from exc
 
 
--- a/cornelgap/platform/keys.py
+++ b/cornelgap/platform/keys.py
@@ -9,6 +9,7 @@
 NAME = 'peers'
 KEY_BYTES = 32
 RETRY_S = 0.5
+_FAILED = (StoreError, KeyError, TypeError, ValueError)
 _LOG = logging.getLogger('cornelgap.node')
 
 
@@ -25,7 +26,7 @@
     while True:
         try:
             return _read_or_make(client)
-        except (StoreError, KeyError, TypeError, ValueError) as exc:
+        except _FAILED as exc:
             if not failing:
                 _LOG.warning('node: no key yet', extra={'error': repr(exc)})
             failing = True
--- a/cornelgap/platform/layout.py
+++ b/cornelgap/platform/layout.py
@@ -42,8 +42,7 @@
     if len(raw) < HEAD.size:
         raise CodedError(Code.PKT_TRUNCATED, f'{len(raw)} bytes', 'head')
     head = HEAD.unpack_from(raw)
-    if head[8] != len(raw) - HEAD.size:
-        raise CodedError(Code.PKT_FIELD, f'{head[8]} bytes stated', 'len')
+    check_length(head[8], len(raw) - HEAD.size)
     return Packet(
         source=head[1],
         source_port=head[3],
@@ -58,15 +57,37 @@
     )
 
 
+def check_length(stated, found):
+    """Check the length field; a cut packet must not reach a target.
+
+    :raises CodedError: ``PKT-007``.
+    """
+    if stated != found:
+        raise CodedError(
+            Code.PKT_FIELD, f'{stated} bytes stated, {found} came', 'len'
+        )
+
+
 def encode_forward(packet, target):
     """Make the datagram for a target; only the cookie is ours to change."""
     raw = packet.raw
-    return b''.join((
-        IDENTITY.pack(target.identity),
-        raw[:COOKIE_AT],
-        COOKIE.pack(target.cookie),
-        raw[COOKIE_AT + COOKIE.size :],
-    ))
+    return b''.join(
+        (
+            encode_identity(target),
+            raw[:COOKIE_AT],
+            COOKIE.pack(target.cookie),
+            raw[COOKIE_AT + COOKIE.size :],
+        )
+    )
+
+
+def encode_identity(target):
+    """Make the bytes that name the intended target.
+
+    An address may have been given to a target of another service since the
+    directory was told; that one sees that it is not meant, and is silent.
+    """
+    return IDENTITY.pack(target.identity)
 
 
 def encode_reset(flow, seq):
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -4,6 +4,8 @@
 entry must not hide all others.
 """
 
+import string
+
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.forwarding.directory import Route, Target, make_cookie
 from cornelgap.platform.layout import parse_ip
@@ -14,7 +16,8 @@
 """The store's word for targets."""
 
 DRAINING = 'draining'
-_HEX = frozenset('0123456789abcdefABCDEF')
+_HEX = frozenset(string.hexdigits)
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 _IDENTITY_BITS = 64
 
 
@@ -28,7 +31,7 @@
     for position, item in enumerate(spec.get('routes') or ()):
         try:
             routes.append(_load_route(item))
-        except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        except _MALFORMED as exc:
             place = f'{CONFIG_KIND}/{CONFIG_NAME} routes.{position}'
             errors.append(CodedError(Code.CFG_BAD_VALUE, repr(exc), place))
     return routes, errors
@@ -60,7 +63,7 @@
     name = item['meta']['name']
     try:
         return _load_target(name, item['spec'], now), []
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except _MALFORMED as exc:
         place = f'{TARGETS_KIND}/{name}'
         return None, [CodedError(Code.CFG_BAD_VALUE, repr(exc), place)]
 
--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -5,9 +5,9 @@
 then never closes it.
 """
 
-import http.client
 import json
 from dataclasses import dataclass
+from http.client import HTTPConnection, HTTPException
 from urllib.parse import quote, urlencode
 
 from cornelgap.core.errors import Code, CodedError
@@ -159,7 +159,7 @@
             path = f'{path}?{urlencode(query)}'
         try:
             status, content = self._exchange(method, path, timeout, body)
-        except (OSError, http.client.HTTPException, ValueError) as exc:
+        except (OSError, HTTPException, ValueError) as exc:
             self.close()
             raise StoreError(repr(exc), answered=False) from exc
         if status == 404:
@@ -170,7 +170,7 @@
 
     def _exchange(self, method, path, timeout, body):
         if self._conn is None:
-            self._conn = http.client.HTTPConnection(*self._address)
+            self._conn = HTTPConnection(*self._address)
         conn = self._conn
         conn.timeout = timeout
         if conn.sock is not None:
--- /dev/null
+++ b/features/forwarding_traps.feature
@@ -0,0 +1,136 @@
+Feature: Each trap of forwarded flows is avoided by its guard
+
+  Targets answer callers directly, so an instance sees one direction only,
+  and any packet may come to any instance.  Each story is played as it is,
+  and again without the named guard; then the harm must show.
+
+  Scenario: Two targets answer two copies of one SYN
+    A SYN+ACK is late, the caller repeats, and a second target answers too.
+    The caller acknowledges the first but carries the second one's cookie;
+    followed, it would send the inventor's refinement to a target that
+    resets it.
+    When the proof story "two answers" is played
+    Then the proof checkers have no objection
+    But they object once the guard "copies-pinned" is taken out
+
+  Scenario: Copies of one SYN on two instances get one service
+    Routers move a flow between its first SYN and the copy.  Two instances
+    that draw a service each would open one flow at two services.
+    When the proof story "split copies" is played
+    Then the proof checkers have no objection
+    But they object once the guard "copies-agree" is taken out
+
+  Scenario: An address is reused by another service
+    A search target ends and its address goes to the archive two seconds
+    later.  An instance that is behind still sends search packets there;
+    the archive must see that it is not meant.
+    When the proof story "reused number" is played
+    Then the proof checkers have no objection
+    But they object once the guard "target-number" is taken out
+
+  Scenario: Two targets share a cookie
+    Long numbers fold into 32 bits and may meet.  Whichever target were
+    taken, some callers would reach a target that does not hold their flow.
+    When the proof story "shared cookie" is played
+    Then the proof checkers have no objection
+    But they object once the guard "shared-cookie" is taken out
+
+  Scenario: An instance does not know a target yet
+    A new target got a flow from an instance that heard of it first; the
+    next packet goes through one that has not.  A reset would end a feed
+    that is perfectly well.
+    When the proof story "instance behind" is played
+    Then the proof checkers have no objection
+    But they object once the guard "unknown-silent" is taken out
+
+  Scenario: Registrations lapse while the store is away
+    Targets cannot renew their registrations during an outage, and the
+    first list after it lacks them.  They live and are back within two
+    seconds; resets would break every feed at once.
+    When the proof story "registration lapsed" is played
+    Then the proof checkers have no objection
+    But they object once the guard "lapse-return" is taken out
+
+  Scenario: A lagging replica serves an old configuration
+    A route was dropped; a read that is seconds old still has it.  Adopted,
+    it would open flows on a route that the operator has closed.
+    When the proof story "store goes back" is played
+    Then the proof checkers have no objection
+    But they object once the guard "rising-facts" is taken out
+
+  Scenario: An old entry in a list does not undo a change
+    A watch told that a target drains, then a list brings the entry from
+    before.  The target would get new flows and end under them.
+    When the proof story "target goes back" is played
+    Then the proof checkers have no objection
+    But they object once the guard "rising-facts" is taken out
+
+  Scenario: The follower of the store has gone deaf
+    Its connection went silent without an error, so it sees no reason to
+    worry, and the whole zone would miss a change of the configuration.
+    When the proof story "deaf follower" is played
+    Then the proof checkers have no objection
+    But they object once the guard "age-decides" is taken out
+
+  Scenario: A suspended instance wakes with old beliefs
+    For four seconds the process stood still; a target began to drain.  A
+    flow that is placed at once would end with it.
+    When the proof story "standstill" is played
+    Then the proof checkers have no objection
+    But they object once the guard "standstill" is taken out
+
+  Scenario: A draining target gets no new flow and keeps its old ones
+    It is the least loaded one, since its callers leave.  A student who
+    opens a feed there is cut off when it ends.
+    When the proof story "draining" is played
+    Then the proof checkers have no objection
+    But they object once the guard "draining-closed" is taken out
+
+  Scenario: A forged SYN+ACK is dropped
+    Targets treat a SYN+ACK as forged; carried on, it would look as if this
+    instance had made it.
+    When the proof story "forged opening" is played
+    Then the proof checkers have no objection
+    But they object once the guard "forged-syn" is taken out
+
+  Scenario: A cut packet is dropped
+    A datagram lost its end on the way; carried on, a target would get a
+    packet that its sender did not write so.
+    When the proof story "cut packet" is played
+    Then the proof checkers have no objection
+    But they object once the guard "stated-length" is taken out
+
+  Scenario: A crashed target's callers are told at once
+    Its registration stays for three heartbeats.  Without a reset each
+    request waits for its whole deadline and the worst seconds of the day
+    are lost.
+    When the proof story "crashed target" is played
+    Then the proof checkers have no objection
+    But they object once the guard "silent-target" is taken out
+
+  Scenario: A slow target that answers somebody keeps its flows
+    Work takes longer than callers wait before they repeat.  Taken for
+    dead, the target would lose all its flows while it works.
+    When the proof story "slow target" is played
+    Then the proof checkers have no objection
+    But they object once the guard "answer-counts" is taken out
+
+  Scenario: No target answers, and yet the next flow is placed
+    The callers' own network is cut.  If all targets were taken away,
+    every caller would be refused when it comes back.
+    When the proof story "all targets look bad" is played
+    Then the proof checkers have no objection
+    But they object once the guard "last-targets" is taken out
+
+  Scenario: Forty instances do not rush to the target that looks idle
+    All of them hear at the same moment that one target is empty.  If each
+    sends its next flow there, its two slots get forty.
+    When the proof story "rush" is played
+    Then the proof checkers have no objection
+    But they object once the guard "pour-flows" is taken out
+
+  Scenario: A stranger on the port is not believed
+    Somebody on the network sends beats that name targets of his own.
+    When the proof story "stranger" is played
+    Then the proof checkers have no objection
+    But they object once the guard "peer-key" is taken out
--- /dev/null
+++ b/features/proofs/forwarding_guards.py
@@ -0,0 +1,198 @@
+"""Guards of forwarded flows, and how each is taken out."""
+
+from cornelgap.decisions import flow_health, following, target_choice
+from cornelgap.forwarding import directory, engine, peer_messages
+from cornelgap.platform import layout
+
+
+def follow_carried_cookie(patches):
+    patches.replace_function(
+        engine.choose_cookie, lambda packet, known: packet.cookie
+    )
+
+
+def address_anybody(patches):
+    patches.replace_function(layout.encode_identity, lambda target: bytes(8))
+
+
+def take_last_twin(patches):
+    def add_cookie(by_cookie, target):
+        by_cookie[target.cookie] = target
+
+    patches.replace_function(directory.add_cookie, add_cookie)
+
+
+def reset_unknown(patches):
+    patches.replace_function(engine.is_gone, lambda view, cookie: True)
+
+
+def believe_lapse(patches):
+    patches.replace_function(
+        directory.compute_gone_at, lambda target, now, outage_until: now
+    )
+
+
+def take_any_revision(patches):
+    patches.replace_function(directory.is_newer, lambda revision, known: True)
+
+
+def trust_after_standstill(patches):
+    patches.set_attr(engine.Engine, 'distrust', lambda self, now: None)
+
+
+def open_on_draining(patches):
+    patches.replace_function(directory.takes_flows, lambda target: True)
+
+
+def forward_forged(patches):
+    patches.replace_function(engine.is_from_target, lambda packet: False)
+
+
+def skip_length(patches):
+    patches.replace_function(layout.check_length, lambda stated, found: None)
+
+
+def wait_for_silent(patches):
+    patches.set_attr(
+        flow_health.FlowHealth, 'is_silent', lambda self, key, now: False
+    )
+
+
+def ignore_answers(patches):
+    patches.set_attr(
+        flow_health.FlowHealth,
+        'note_answer',
+        lambda self, key, answered_at: None,
+    )
+
+
+def trust_only_good(patches):
+    patches.replace_function(
+        flow_health.select_trusted,
+        lambda targets, is_avoided: [
+            target for target in targets if not is_avoided(target)
+        ],
+    )
+
+
+def take_the_idlest(patches):
+    def choose_target(candidates, poured, rng):
+        return min(candidates, key=target_choice.measure_cost).target
+
+    patches.replace_function(target_choice.choose_target, choose_target)
+
+
+def trust_the_follower(patches):
+    def decide(self, now, rank, age_s, other_follows):
+        return self.active
+
+    patches.set_attr(following.Following, 'decide', decide)
+
+
+def believe_strangers(patches):
+    patches.replace_function(peer_messages.check_tag, lambda found, right: None)
+
+
+def draw_service(patches):
+    def choose_service(route, packet):
+        # Each instance draws for itself.
+        draw_service.turn = (getattr(draw_service, 'turn', 0) + 1) % 2
+        return route.shares[draw_service.turn][0]
+
+    patches.replace_function(engine.choose_service, choose_service)
+
+
+LIST = (
+    (
+        'copies-pinned',
+        1,
+        'a flow stays where its first acknowledgement went',
+        follow_carried_cookie,
+    ),
+    (
+        'copies-agree',
+        1,
+        'copies of a SYN get the same service on any instance',
+        draw_service,
+    ),
+    (
+        'target-number',
+        2,
+        'a datagram names the lifetime that is meant',
+        address_anybody,
+    ),
+    (
+        'shared-cookie',
+        2,
+        'a cookie of two targets is never guessed',
+        take_last_twin,
+    ),
+    (
+        'unknown-silent',
+        3,
+        'an unknown target is no reason for a reset',
+        reset_unknown,
+    ),
+    (
+        'lapse-return',
+        4,
+        'a registration that lapsed in an outage may come back',
+        believe_lapse,
+    ),
+    (
+        'rising-facts',
+        5,
+        'facts of the store are adopted by rising revision',
+        take_any_revision,
+    ),
+    (
+        'age-decides',
+        5,
+        'who knows nothing fresh follows the store itself',
+        trust_the_follower,
+    ),
+    (
+        'standstill',
+        7,
+        'after a standstill nothing is placed before a confirmation',
+        trust_after_standstill,
+    ),
+    (
+        'draining-closed',
+        8,
+        'a draining target gets no new flow',
+        open_on_draining,
+    ),
+    ('forged-syn', 9, 'a SYN+ACK is dropped', forward_forged),
+    ('stated-length', 9, 'a cut packet is dropped', skip_length),
+    (
+        'silent-target',
+        10,
+        'flows of a target that answers nobody are reset',
+        wait_for_silent,
+    ),
+    (
+        'answer-counts',
+        10,
+        'an answer to anybody shows that a target lives',
+        ignore_answers,
+    ),
+    (
+        'last-targets',
+        10,
+        'the last targets are never taken away',
+        trust_only_good,
+    ),
+    (
+        'pour-flows',
+        11,
+        'instances that choose at once spread their flows',
+        take_the_idlest,
+    ),
+    (
+        'peer-key',
+        0,
+        'a stranger on the port is not believed',
+        believe_strangers,
+    ),
+)
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Callable
 
-from features.proofs import switches
+from features.proofs import forwarding_guards, switches
 from features.proofs.patches import Patches
 
 
@@ -268,7 +268,8 @@
     ),
 )
 
-GUARDS = {guard.name: guard for guard in _ALL}
+_FORWARDING = tuple(Guard(*item) for item in forwarding_guards.LIST)
+GUARDS = {guard.name: guard for guard in _ALL + _FORWARDING}
 
 
 @contextmanager
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -2,9 +2,15 @@
 
 from behave import step, then, when
 
-from features.proofs import guards, part_stories, stories, world_stories
-
-PLACES = (stories, part_stories, world_stories)
+from features.proofs import (
+    forwarding_stories,
+    guards,
+    part_stories,
+    stories,
+    world_stories,
+)
+
+PLACES = (stories, part_stories, world_stories, forwarding_stories)
 
 
 def play_story(name):
