--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -147,6 +147,7 @@
         self._dropped = set()
         self._targets = {}
         self._seen_at = {}
+        self._listed_at = 0
         self._vanished = {}
         self._outage_until = 0
 
@@ -192,6 +193,11 @@
             self._forget(name, now)
         for name, (target, entry_revision) in targets.items():
             changed |= self._put(name, target, entry_revision)
+        # The list covers all that happened up to its revision, so single
+        # removals before it need not be remembered any more.
+        self._listed_at = revision
+        for name in self._seen_at.keys() - targets.keys():
+            self._seen_at.pop(name)
         if changed:
             # A list does not say when something vanished; up to its own
             # revision is the safe answer.
@@ -281,7 +287,7 @@
         }
 
     def _put(self, name, target, revision):
-        if not is_newer(revision, self._seen_at.get(name, 0)):
+        if not is_newer(revision, self._find_seen(name)):
             return False
         self._seen_at[name] = revision
         self._vanished.pop(name, None)
@@ -290,12 +296,19 @@
         return known != target
 
     def _remove(self, name, revision, now):
-        if revision < self._seen_at.get(name, 0) or name not in self._targets:
+        if revision < self._find_seen(name):
             return False
         self._seen_at[name] = revision
+        if name not in self._targets:
+            return False
         self._forget(name, now)
         return True
 
+    def _find_seen(self, name):
+        """Return the revision of what is known of a target, gone or not."""
+        seen = self._seen_at.get(name)
+        return self._listed_at if seen is None else seen
+
     def _forget(self, name, now):
         target = self._targets.pop(name)
         gone_at = compute_gone_at(target, now, self._outage_until)
--- /dev/null
+++ b/features/forwarding_properties.feature
@@ -0,0 +1,37 @@
+Feature: Forwarding takes any bytes and any order of facts
+
+  Scenario: Any datagram decodes or is refused with a code
+    Datagrams come from anywhere.  Another exception would end the packet
+    actor, and with it every flow of the instance.
+    Then hypothesis finds no datagram that raises anything but a PKT code
+
+  Scenario: A packet changes on its way only where it may
+    Targets check a sum over the packet; one changed byte and they drop it.
+    Then hypothesis finds no packet of which more than the cookie changes
+
+  Scenario: A reset is what callers take for one
+    Then hypothesis finds no flow whose reset is not from its route
+
+  Scenario: Any datagram of a peer decodes or is refused with a code
+    Then hypothesis finds no peer datagram that raises anything but a code
+    And a beat survives encoding, with fields that are not known yet
+
+  Scenario: A snapshot survives the way to another instance
+    Then hypothesis finds no directory that changes in a snapshot
+
+  Scenario: The directory agrees with a naive one in any order of facts
+    Lists and changes come late, twice and out of order.  The naive model
+    keeps for each target what the highest revision said.
+    Then hypothesis finds no order of facts in which the directories differ
+
+  Scenario: A view does not change when the directory does
+    A packet must never be handled by half of a change.
+    Then a view taken before a change shows the state before it
+
+  Scenario: A bad settings file is refused, each field by its name
+    Given a settings file with a bad address and without a zone
+    Then both errors are told with the file and the field
+
+  Scenario: A bad entry of the store hides no other
+    Given a configuration whose second route has no port
+    Then the other routes are in force and the error names the second
--- /dev/null
+++ b/features/steps/forwarding_property_steps.py
@@ -0,0 +1,298 @@
+"""Steps that search for packets, beats and orders of facts that break."""
+
+import json
+import string
+import tempfile
+from pathlib import Path
+
+from behave import given, then
+from hypothesis import given as vary
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from cornelgap.core.errors import CodedError
+from cornelgap.forwarding import peer_messages as peers
+from cornelgap.forwarding.directory import Directory, Route
+from cornelgap.platform import layout, objects
+from cornelgap.platform.settings import load_node_settings
+from features.proofs.forwarding_desk import make_target
+
+QUIET = settings(
+    max_examples=300, derandomize=True, database=None, deadline=None
+)
+KEY = b'key of a test fleet'
+words = st.integers(0, 2**32 - 1)
+ports = st.integers(0, 2**16 - 1)
+octets = st.integers(0, 255)
+names = st.text(string.ascii_lowercase, min_size=1, max_size=6)
+loads = st.dictionaries(words, st.integers(0, 500), max_size=4)
+ages = st.one_of(st.none(), st.floats(0, 1000))
+BEATS = st.builds(
+    peers.Beat,
+    name=names,
+    zone=names,
+    host=names,
+    boot=words,
+    hello=st.booleans(),
+    hub=st.booleans(),
+    following=st.booleans(),
+    routes_revision=words,
+    routes_age=ages,
+    targets_revision=words,
+    targets_changed=words,
+    targets_age=ages,
+    loads=loads,
+    zone_loads=st.one_of(st.none(), loads.filter(bool)),
+    repeats=st.lists(st.lists(words, min_size=2, max_size=2), max_size=3),
+    answers=st.lists(words, max_size=3),
+    members=st.lists(st.lists(names, min_size=3, max_size=3), max_size=3),
+)
+
+
+def make_raw(data, flags, values):
+    dport, source, destination, sport, cookie, seq, ack, total = values
+    head = layout.HEAD.pack(
+        dport,
+        source,
+        destination,
+        sport,
+        flags,
+        cookie,
+        seq,
+        ack,
+        len(data),
+        total,
+    )
+    return head + data
+
+
+heads = st.tuples(ports, words, words, ports, words, words, words, words)
+
+
+@then('hypothesis finds no datagram that raises anything but a PKT code')
+def check_datagrams(context):
+    @QUIET
+    @vary(st.binary(max_size=80), heads, octets, st.integers(0, 60))
+    def search(noise, values, flags, cut):
+        for raw in (noise, make_raw(noise, flags, values)[:cut]):
+            try:
+                packet = layout.decode_packet(raw)
+            except CodedError as exc:
+                assert exc.code.startswith('PKT-')
+            else:
+                assert packet.size == len(raw) - layout.HEAD.size
+
+    search()
+
+
+@then('hypothesis finds no packet of which more than the cookie changes')
+def check_forwarding(context):
+    @QUIET
+    @vary(st.binary(max_size=60), heads, octets, st.integers(1, 2**64 - 1))
+    def search(data, values, flags, identity):
+        raw = make_raw(data, flags, values)
+        target = make_target(identity)
+        sent = layout.encode_forward(layout.decode_packet(raw), target)
+        assert int.from_bytes(sent[:8], 'big') == identity
+        assert sent[8:26] == raw[:18]
+        assert int.from_bytes(sent[26:30], 'big') == target.cookie != 0
+        assert sent[30:] == raw[22:]
+
+    search()
+
+
+@then('hypothesis finds no flow whose reset is not from its route')
+def check_resets(context):
+    @QUIET
+    @vary(heads, words)
+    def search(values, seq):
+        packet = layout.decode_packet(make_raw(b'', 16, values))
+        raw = layout.encode_reset(packet.flow, seq)
+        reset = layout.decode_packet(raw)
+        assert (reset.source, reset.source_port) == (values[2], values[0])
+        assert (reset.destination, reset.destination_port) == values[1:4:2]
+        assert reset.seq == seq
+        # No flag but the reset's, no data and no sum.
+        assert raw[12] == layout.WIRE_RST
+        assert raw[26:] == bytes(10)
+
+    search()
+
+
+@then('hypothesis finds no peer datagram that raises anything but a code')
+def check_peer_datagrams(context):
+    inner = st.recursive(
+        st.one_of(st.none(), st.booleans(), words, st.floats(), names),
+        lambda child: st.one_of(
+            st.lists(child, max_size=3),
+            st.dictionaries(names, child, max_size=3),
+        ),
+        max_leaves=6,
+    )
+    fields = st.sampled_from([*peers.Beat.__dataclass_fields__, 'unknown'])
+
+    @QUIET
+    @vary(st.binary(max_size=60), st.dictionaries(fields, inner, max_size=8))
+    def search(noise, content):
+        body = json.dumps(content).encode()
+        for raw in (noise, peers.seal(noise, KEY), peers.seal(body, KEY)):
+            try:
+                beat = peers.decode_beat(raw, KEY)
+                for item in beat.changes:
+                    peers.load_change(item, 0)
+            except CodedError as exc:
+                assert exc.code[:4] in {'PKT-', 'NET-'}
+            try:
+                peers.unpack_snapshot(raw, 0, KEY)
+            except CodedError as exc:
+                assert exc.code[:4] in {'PKT-', 'NET-'}
+
+    search()
+
+
+@then('a beat survives encoding, with fields that are not known yet')
+def check_beats(context):
+    @QUIET
+    @vary(BEATS)
+    def search(beat):
+        assert peers.decode_beat(peers.encode_beat(beat, KEY), KEY) == beat
+        content = json.loads(peers.encode_beat(beat, KEY)[17:])
+        content['of_a_later_version'] = [1, 2]
+        raw = peers.seal(json.dumps(content).encode(), KEY)
+        assert peers.decode_beat(raw, KEY) == beat
+
+    search()
+
+
+@then('hypothesis finds no directory that changes in a snapshot')
+def check_snapshots(context):
+    routes = st.builds(
+        Route, names, words, ports, st.just((('search', 2), ('archive', 1)))
+    )
+    targets = st.builds(
+        make_target,
+        st.integers(1, 2**64 - 1),
+        st.sampled_from(['search', 'archive']),
+        draining=st.booleans(),
+    )
+
+    @QUIET
+    @vary(
+        st.lists(routes, max_size=4, unique_by=lambda one: one.port),
+        st.lists(targets, max_size=4, unique_by=lambda one: one.name),
+    )
+    def search(some_routes, some_targets):
+        told = Directory()
+        told.adopt_routes(some_routes, 7, 1)
+        listed = {one.name: (one, 5) for one in some_targets}
+        told.adopt_targets(listed, 8, 2, 2)
+        raw = peers.pack_snapshot(told, 3, KEY)
+        snapshot = peers.unpack_snapshot(raw, 0, KEY)
+        assert snapshot.routes == some_routes
+        assert snapshot.targets == listed
+        assert (snapshot.routes_age, snapshot.targets_age) == (2, 1)
+
+    search()
+
+
+@then('hypothesis finds no order of facts in which the directories differ')
+def check_directories(context):
+    entry = st.tuples(
+        st.integers(1, 4), st.integers(1, 30), st.sampled_from('rdg')
+    )
+
+    @QUIET
+    @vary(st.lists(entry, max_size=30))
+    def search(entries):
+        directory = Directory()
+        directory.adopt_routes([Route('r', 1, 1, ())], 1, 0)
+        directory.adopt_targets({}, 0, 0, 0)
+        naive = {}
+        for number, revision, state in entries:
+            target = make_target(number, draining=state == 'd')
+            known = naive.get(target.name, (0, None))
+            gone = state == 'g'
+            # A removal may bear the revision of the last change.
+            if revision > known[0] or (gone and revision == known[0]):
+                naive[target.name] = (revision, None if gone else target)
+            change = (target.name, None if gone else target, revision)
+            directory.apply_targets([change], revision, 0, 0)
+        expected = [one for _, one in naive.values() if one is not None]
+        view = directory.make_view(0)
+        held = [one for one, _ in directory.list_targets().values()]
+        assert sorted(held, key=str) == sorted(expected, key=str)
+        ready = [one for one in expected if not one.draining]
+        found = view.by_service.get('search', [])
+        assert sorted(found, key=str) == sorted(ready, key=str)
+        assert {one.cookie for one in expected} == view.by_cookie.keys()
+
+    search()
+
+
+@then('a view taken before a change shows the state before it')
+def check_view(context):
+    directory = Directory()
+    route = Route('r', 1, 443, (('search', 1),))
+    directory.adopt_routes([route], 1, 0)
+    target = make_target(1)
+    directory.adopt_targets({target.name: (target, 1)}, 1, 0, 0)
+    view = directory.make_view(0)
+    directory.adopt_routes([], 2, 0)
+    directory.apply_targets([(target.name, None, 3)], 3, 0, 0)
+    assert view.routes == {(1, 443): route}
+    assert not view.dropped
+    assert view.by_cookie == {1: target}
+    assert view.by_service == {'search': [target]}
+    assert not view.gone
+    later = directory.make_view(0)
+    assert later.dropped == {(1, 443)}
+    assert later.gone == {1: target}
+
+
+@given('a settings file with a bad address and without a zone')
+def write_settings(context):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    path = Path(folder.name) / 'node.toml'
+    path.write_text(
+        'node_name = "n"\nip = "127.0.0.1"\n'
+        '[listen]\ndatagram_addr = "127.0.0.1"\nready = "127.0.0.1:2"\n'
+        '[platform]\naddress = "127.0.0.1:3"\n'
+    )
+    context.path = str(path)
+
+
+@then('both errors are told with the file and the field')
+def check_errors(context):
+    loaded, errors = load_node_settings(context.path)
+    assert loaded is None
+    places = {exc.place for exc in errors}
+    fields = ('zone', 'listen.datagram_addr')
+    assert places == {f'{context.path} {field}' for field in fields}, places
+
+
+@given('a configuration whose second route has no port')
+def make_configuration(context):
+    good = {'name': 'r-1', 'host': '198.18.0.1', 'service': 'search'}
+    context.spec = {
+        'routes': [
+            {**good, 'path_prefix': '/443/'},
+            {**good, 'path_prefix': '//'},
+            {
+                **good,
+                'path_prefix': '/80/',
+                'split': [
+                    {'service': 'search', 'weight': 0},
+                    {'service': 'archive', 'weight': 3},
+                ],
+            },
+        ]
+    }
+
+
+@then('the other routes are in force and the error names the second')
+def check_routes(context):
+    routes, errors = objects.load_routes(context.spec)
+    assert [route.port for route in routes] == [443, 80]
+    assert routes[1].shares == (('archive', 3),)
+    assert [exc.place for exc in errors] == ['config/main routes.1']
