--- a/bench/procs.py
+++ b/bench/procs.py
@@ -37,18 +37,22 @@
     :param greeting: the JSON object of its first line, empty if none.
     """
 
-    def __init__(self, name, args, folder, greets=True):
-        """Start ``python -m`` with the arguments and read its greeting."""
+    def __init__(self, name, args, folder, greets=True, env=(), to_log=False):
+        """Start ``python -m`` with the arguments and read its greeting.
+
+        :param env: further environment variables, as a mapping.
+        :param to_log: whether output goes to the log file; a process that
+            writes much would fill a pipe that nobody empties.
+        """
         self.name = name
         self.greeting = {}
         self.log = Path(folder) / f'{name}.log'
-        env = dict(os.environ, PYTHONUNBUFFERED='1')
-        with self.log.open('w') as log:
+        with self.log.open('a') as log:
             self.popen = subprocess.Popen(
                 [sys.executable, '-m', *args],
                 cwd=ROOT,
-                env=env,
-                stdout=subprocess.PIPE,
+                env=dict(os.environ, PYTHONUNBUFFERED='1', **dict(env)),
+                stdout=log if to_log else subprocess.PIPE,
                 stderr=log,
             )
         if greets:
--- /dev/null
+++ b/features/forwarding_processes.feature
@@ -0,0 +1,52 @@
+Feature: Forwarded flows through real processes
+
+  Three instances, targets, callers, routers and the store, each meeting the
+  others over loopback only.
+
+  Background:
+    Given a store with two services of two targets each
+    And three forwarding instances behind routers
+
+  Scenario: A calm day is served
+    When 40 flows are opened and each makes 2 requests
+    Then every request is answered by a target of its own service
+    And no target got a packet that was changed or meant for another
+
+  Scenario: A planned stop resets no flow
+    Instances are replaced many times a day.  Routers need a second to let
+    go of one; if it ended at once, its packets would be lost, and
+    so would be the feed that waits for them.
+    When 40 flows are opened and each makes 1 request
+    And an instance is asked to stop while the flows make requests
+    Then it ends by itself within its grace period
+    And no flow was reset and every request was answered
+
+  Scenario: A killed instance takes no flow with it
+    A machine loses power.  Its flows are on targets, and any other instance
+    can carry their packets.
+    When 40 flows are opened and each makes 1 request
+    And an instance is killed while the flows make requests
+    Then no flow was reset and every request was answered
+
+  Scenario: A draining target gets no new flow, a dropped route none either
+    The operator's change goes to one instance that follows the store, and
+    the others must hear of it within seconds.
+    When 40 flows are opened and each makes 1 request
+    And a target begins to drain and a route is dropped
+    Then within 3 s no new flow reaches the target or the route
+    And the flows that the target holds go on
+
+  Scenario: The store is away, and instances restart without it
+    An outage must not end open flows.  An instance that restarts then knows
+    nothing; what it learns comes from the others, never from a guess.
+    When 40 flows are opened and each makes 1 request
+    And the store falls silent and an instance is killed and started again
+    Then the flows go on through all instances
+    And within 10 s of the store's return a new route is in force everywhere
+
+  Scenario: A crashed target's callers are told at once
+    It sends nothing any more, and its registration stays for seconds.
+    When 40 flows are opened and each makes 1 request
+    And a target crashes while the flows make requests
+    Then its flows are reset before their callers give up
+    And the next 20 flows all open on other targets
--- /dev/null
+++ b/features/steps/forwarding_process_steps.py
@@ -0,0 +1,360 @@
+"""Steps that run the forwarding instances as processes over loopback."""
+
+import signal
+import tempfile
+import threading
+import time
+
+from behave import given, then, when
+
+from bench.procs import Proc, pick_ports, wait_for
+from cornelgap.platform.layout import parse_ip
+from standins.object_store import ObjectStore, start_store
+from standins.packet_ends import (
+    Callers,
+    PacketTarget,
+    PacketWorld,
+    Routers,
+    ask_ready,
+)
+
+WAIT_S = 15
+GRACE_S = 6
+CALLERS_HOST = '127.0.0.2'
+HOSTS = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
+ROUTE = parse_ip('198.18.0.1')
+PLACES = {'search': (ROUTE, 443), 'archive': (ROUTE, 80)}
+SERVICES = {1: 'search', 2: 'search', 3: 'archive', 4: 'archive'}
+
+SETTINGS = """
+node_name = "{name}"
+ip = "{host}"
+zone = "a"
+internal_ports = [{inner}, {inner}]
+seeds = ["127.0.0.11:1", "127.0.0.12:1"]
+[listen]
+datagram_addr = "{host}:{packets}"
+ready = "{host}:{ready}"
+[bounds]
+config_apply_ms = 3000
+drain_ms = 3000
+grace_s = 6
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+def put_config(context, *services):
+    context.version = getattr(context, 'version', 0) + 1
+    routes = [
+        {
+            'name': f'r-{service}',
+            'host': '198.18.0.1',
+            'path_prefix': f'/{PLACES[service][1]}/',
+            'service': service,
+        }
+        for service in services
+    ]
+    spec = {'version': context.version, 'routes': routes}
+    context.store.put('config', 'main', spec)
+
+
+def put_target(context, target, state='ready'):
+    host, port = target.address
+    spec = {
+        'service': SERVICES[target.number],
+        'address': f'{host}:{port}',
+        'zone': 'a',
+        'max_concurrent': 2,
+        'state': state,
+        'warmup_left_ms': 0,
+        'seq': 1,
+    }
+    context.store.put('servers', f'i-{target.number:08x}', spec)
+
+
+def start_instance(context, name):
+    settings = SETTINGS.format(
+        name=name, host=context.hosts[name], **context.ports
+    )
+    path = f'{context.folder}/{name}.toml'
+    with open(path, 'w') as target:
+        target.write(settings)
+    proc = Proc(
+        name,
+        ['cornelgap.platform.role'],
+        context.folder,
+        greets=False,
+        env={'CORNELGAP_CONFIG': path},
+        to_log=True,
+    )
+    context.cleanups.append(lambda: kill(proc))
+    context.procs[name] = proc
+
+
+def kill(proc):
+    if proc.popen.poll() is None:
+        proc.popen.kill()
+    proc.popen.wait()
+
+
+@given('a store with two services of two targets each')
+def start_outside(context):
+    folder = tempfile.TemporaryDirectory()
+    context.cleanups.append(folder.cleanup)
+    context.folder = folder.name
+    context.store = ObjectStore()
+    server = start_store(context.store)
+    context.cleanups.append(server.shutdown)
+    packets, ready, inner = pick_ports(3)
+    context.ports = {
+        'packets': packets,
+        'ready': ready,
+        'inner': inner,
+        'store': server.server_address[1],
+    }
+    context.targets = {
+        number: PacketTarget(number, f'127.0.0.{20 + number}', packets)
+        for number in SERVICES
+    }
+    put_config(context, 'search', 'archive')
+    for target in context.targets.values():
+        put_target(context, target)
+
+
+@given('three forwarding instances behind routers')
+def start_instances(context):
+    context.hosts = {f'n{host[-1]}': host for host in HOSTS}
+    context.procs = {}
+    for name in context.hosts:
+        start_instance(context, name)
+    ports = context.ports
+    context.routers = Routers(
+        ((host, ports['packets']), (host, ports['ready'])) for host in HOSTS
+    )
+    callers = Callers((CALLERS_HOST, ports['packets']), context.routers)
+    context.world = PacketWorld(callers, context.targets.values())
+    context.world.start()
+    context.cleanups.append(context.world.stop)
+    probing = threading.Thread(
+        target=context.routers.probe_forever, daemon=True
+    )
+    probing.start()
+    context.cleanups.append(context.routers.stopped.set)
+    wait_for(lambda: all_ready(context), WAIT_S, 'all instances are ready')
+
+
+def all_ready(context):
+    return all(ask_ready((host, context.ports['ready'])) for host in HOSTS)
+
+
+def open_flows(context, count, services=('search', 'archive')):
+    callers = context.world.callers
+    flows = []
+    for number in range(count):
+        service = services[number % len(services)]
+        place = PLACES[service]
+        flow = context.world.call(lambda now: callers.open(place, now))
+        flows.append((service, flow))
+    return flows
+
+
+def is_settled(flow):
+    return flow.state != 'opening'
+
+
+def ask_all(context, text):
+    callers = context.world.callers
+    for _, flow in context.flows:
+        if flow.state == 'open':
+            context.world.call(lambda now: callers.request(flow, text, now))
+
+
+def is_answered(flow):
+    return flow.state != 'open' or not flow.sent
+
+
+def wait_for_answers(context):
+    wait_for(
+        lambda: all(is_answered(flow) for _, flow in context.flows),
+        WAIT_S,
+        'all requests are answered',
+    )
+
+
+@when('{count:d} flows are opened and each makes {requests:d} request')
+@when('{count:d} flows are opened and each makes {requests:d} requests')
+def run_flows(context, count, requests):
+    context.flows = open_flows(context, count)
+    wait_for(
+        lambda: all(is_settled(flow) for _, flow in context.flows),
+        WAIT_S,
+        'all flows are open',
+    )
+    for number in range(requests):
+        ask_all(context, b'request %d' % number)
+        wait_for_answers(context)
+    context.asked = requests
+
+
+@then('every request is answered by a target of its own service')
+def check_answers(context):
+    for service, flow in context.flows:
+        assert flow.state == 'open', flow
+        assert len(flow.answers) == context.asked, flow
+        for number, (text, _) in enumerate(flow.answers):
+            target, _, said = text.partition(b':')
+            assert SERVICES[int(target)] == service
+            assert said == b'request %d' % number
+
+
+@then('no target got a packet that was changed or meant for another')
+def check_targets(context):
+    for target in context.targets.values():
+        assert not target.wrong, target.wrong
+
+
+def strike(context, action):
+    """Let the flows ask again and again while something happens."""
+    rounds = 8
+    for number in range(rounds):
+        if number == 2:
+            action()
+        ask_all(context, b'request %d' % context.asked)
+        wait_for_answers(context)
+        context.asked += 1
+        time.sleep(0.2)
+
+
+@when('an instance is asked to stop while the flows make requests')
+def stop_instance(context):
+    context.stopped = context.procs['n1']
+    strike(context, lambda: context.stopped.send_signal(signal.SIGTERM))
+
+
+@then('it ends by itself within its grace period')
+def check_ended(context):
+    assert context.stopped.popen.wait(GRACE_S) == 0
+
+
+@then('no flow was reset and every request was answered')
+def check_all_well(context):
+    check_answers(context)
+    check_targets(context)
+
+
+@when('an instance is killed while the flows make requests')
+def kill_instance(context):
+    strike(context, context.procs['n1'].popen.kill)
+
+
+@when('a target begins to drain and a route is dropped')
+def drain_target(context):
+    put_target(context, context.targets[1], 'draining')
+    put_config(context, 'search')
+    context.changed_at = time.monotonic()
+
+
+@then('within 3 s no new flow reaches the target or the route')
+def check_drained(context):
+    def is_in_force():
+        flows = open_flows(context, 30)
+        wait_for(
+            lambda: all(is_settled(flow) for _, flow in flows),
+            WAIT_S,
+            'flows are settled',
+        )
+        dropped = [flow for name, flow in flows if name == 'archive']
+        held = set(context.targets[1].flows)
+        keys = {(f.key[0], f.key[1], f.key[2], f.key[3]) for _, f in flows}
+        return not keys & held and all(
+            flow.state == 'reset' for flow in dropped
+        )
+
+    wait_for(is_in_force, 3, 'the change is in force')
+
+
+@then('the flows that the target holds go on')
+def check_held(context):
+    held = [
+        flow
+        for _, flow in context.flows
+        if flow.answers[-1][0].startswith(b'1:')
+    ]
+    assert held
+    context.flows = [('search', flow) for flow in held]
+    ask_all(context, b'request 1')
+    wait_for_answers(context)
+    context.asked += 1
+    check_answers(context)
+
+
+@when('the store falls silent and an instance is killed and started again')
+def silence_store(context):
+    context.store.silent = True
+    kill(context.procs['n1'])
+    start_instance(context, 'n1')
+    ask_all(context, b'request 1')
+    wait_for_answers(context)
+    context.asked += 1
+
+
+@then('the flows go on through all instances')
+def check_flows(context):
+    check_all_well(context)
+
+
+@then("within 10 s of the store's return a new route is in force everywhere")
+def check_return(context):
+    PLACES['later'] = (ROUTE, 8443)
+    context.cleanups.append(lambda: PLACES.pop('later'))
+    spec = context.store.get('config', 'main')['spec']
+    route = {
+        'name': 'r-later',
+        'host': '198.18.0.1',
+        'path_prefix': '/8443/',
+        'service': 'search',
+    }
+    spec = {**spec, 'routes': [*spec['routes'], route]}
+    context.store.put('config', 'main', spec)
+    context.store.silent = False
+
+    def is_in_force():
+        flows = open_flows(context, 12, ['later'])
+        wait_for(
+            lambda: all(is_settled(flow) for _, flow in flows),
+            WAIT_S,
+            'flows are settled',
+        )
+        return all(flow.state == 'open' for _, flow in flows)
+
+    wait_for(is_in_force, 10, 'the new route is in force')
+    wait_for(lambda: all_ready(context), WAIT_S, 'all instances are ready')
+
+
+@when('a target crashes while the flows make requests')
+def crash_target(context):
+    context.targets[1].crashed = True
+    context.asked_at = time.monotonic()
+    ask_all(context, b'request 1')
+    wait_for_answers(context)
+
+
+@then('its flows are reset before their callers give up')
+def check_resets(context):
+    for service, flow in context.flows:
+        if flow.answers[0][0].startswith(b'1:'):
+            assert flow.state == 'reset', flow
+        else:
+            assert flow.state == 'open', flow
+
+
+@then('the next {count:d} flows all open on other targets')
+def check_next(context, count):
+    flows = open_flows(context, count)
+    wait_for(
+        lambda: all(is_settled(flow) for _, flow in flows),
+        WAIT_S,
+        'flows are settled',
+    )
+    assert all(flow.state == 'open' for _, flow in flows)
