Follow both kinds of facts with one watch

Cause: half of the store calls only proved that the configuration had not changed. The store's revision counts every change of any kind, so an answer whose revision is explained by the changes it told proves that too; otherwise one call reads the configuration. Allow-stale reads were ruled out: they prove no freshness.

--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -23,7 +23,7 @@
     read_clock,
 )
 from cornelgap.forwarding.fetcher import FETCHER, Fetch, SnapshotFetched
-from cornelgap.forwarding.follower import Follow
+from cornelgap.forwarding.follower import FOLLOWER, Follow
 from cornelgap.forwarding.neighbours import Neighbours
 from cornelgap.forwarding.packet_actor import (
     FORWARDING,
@@ -38,7 +38,6 @@
 from cornelgap.kernel.service import Service
 
 DIRECTORY = 'directory'
-FOLLOWERS = ('routes', 'targets')
 TICK_S = 0.25
 BEAT_S = 0.5
 """Seconds between two beats at most; news go out at once."""
@@ -350,8 +349,7 @@
             self._set_following()
 
     def _set_following(self):
-        for kind in FOLLOWERS:
-            tell_service(self.scope, kind, Follow(self._following.active))
+        tell_service(self.scope, FOLLOWER, Follow(self._following.active))
 
     def _send_beat(self, hosts, zone, **parts):
         if not hosts or self._key is None:
--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -1,4 +1,4 @@
-"""The actor that follows one kind of facts at the store.
+"""The actor that follows the store.
 
 It owns the connection and blocks on it, so it does nothing else.  It lists
 once, then waits for changes, and tells the directory what it heard and as
@@ -17,6 +17,7 @@
 """Pause after a failed call; with jitter of half of it either way, so that
 instances do not come back to a restarted store in one moment."""
 
+FOLLOWER = 'follower'
 _LOG = logging.getLogger('cornelgap.follower')
 
 
@@ -36,7 +37,7 @@
     """Follows one source.
 
     :param source: offers ``list_facts()`` and ``watch_facts(wait_s)``, both
-        giving a message for the directory, and ``close()``.
+        giving messages for the directory, and ``close()``.
     :param receiver: name of the service that is told.
     :param wait_s: longest wait for a change.  An answered wait is the only
         proof that the connection still hears the store.
@@ -45,9 +46,9 @@
 
     use_daemon_thread = True
 
-    def __init__(self, scope, name, source, receiver, wait_s, rng, pause):
+    def __init__(self, scope, source, receiver, wait_s, rng, pause):
         """Wait for :class:`Follow`."""
-        super().__init__(scope, name)
+        super().__init__(scope, FOLLOWER)
         self._source = source
         self._receiver = receiver
         self._wait_s = wait_s
@@ -82,14 +83,15 @@
 
     def _call(self):
         if self._listed:
-            fact = self._source.watch_facts(self._wait_s)
+            found = self._source.watch_facts(self._wait_s)
         else:
-            fact = self._source.list_facts()
+            found = self._source.list_facts()
         self._listed = True
         if self._failing:
             self._failing = False
-            _LOG.info('follower: store is back', extra={'kind': self.name})
-        tell_service(self.scope, self._receiver, fact)
+            _LOG.info('follower: store is back')
+        for fact in found:
+            tell_service(self.scope, self._receiver, fact)
 
     def _note_failure(self, exc):
         self._listed = False
@@ -97,9 +99,5 @@
             self._failing = True
             _LOG.warning(
                 'follower: store lost',
-                extra={
-                    'kind': self.name,
-                    'code': str(exc.code),
-                    'error': exc.text,
-                },
+                extra={'code': str(exc.code), 'error': exc.text},
             )
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -12,7 +12,6 @@
 from cornelgap.forwarding import fetcher
 from cornelgap.forwarding.directory_actor import (
     DIRECTORY,
-    FOLLOWERS,
     AnnounceLeaving,
     DirectoryActor,
     KeyKnown,
@@ -27,7 +26,7 @@
 from cornelgap.platform.keys import learn_key
 from cornelgap.platform.readiness import make_server
 from cornelgap.platform.settings import VARIABLE, load_node_settings
-from cornelgap.platform.sources import RoutesSource, TargetsSource
+from cornelgap.platform.sources import StoreSource
 from cornelgap.platform.store import StoreClient
 
 EXIT_SETTINGS = 2
@@ -50,7 +49,6 @@
     layout.encode_reset,
     layout.format_ip,
 )
-SOURCES = {'routes': RoutesSource, 'targets': TargetsSource}
 _LOG = logging.getLogger('cornelgap.node')
 
 
@@ -86,11 +84,8 @@
             name, engine, CODEC, settings.packets, DIRECTORY
         )
         fetcher.Fetcher.start(name, port, DIRECTORY)
-        for kind in FOLLOWERS:
-            source = SOURCES[kind].from_settings(settings)
-            Follower.start(
-                name, kind, source, DIRECTORY, wait_s, rng, time.sleep
-            )
+        source = StoreSource.from_settings(settings)
+        Follower.start(name, source, DIRECTORY, wait_s, rng, time.sleep)
         self._directory = DirectoryActor.start(
             (name, settings.zone, settings.host),
             port,
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -1,4 +1,11 @@
-"""What the store holds, as messages for the directory."""
+"""What the store holds, as messages for the directory.
+
+Each call of the store costs, so one watch serves both kinds of facts.  It
+waits for changes of targets; its answer also bears the store's revision,
+which counts every change of any kind.  If all changes since the last
+answer were changes of targets that it has told, the configuration cannot
+have changed; otherwise one more call reads it.
+"""
 
 import logging
 
@@ -18,18 +25,17 @@
 _LOG = logging.getLogger('cornelgap.follower')
 
 
-class _Source:
-    """Follows one kind of objects.
+class StoreSource:
+    """Follows targets and configuration over one connection.
 
     :param client: :class:`StoreClient` of its own.
     """
 
-    kind = ''
-
     def __init__(self, client):
         """Know no revision yet."""
         self._client = client
         self._revision = 0
+        self._routes_revision = 0
 
     @classmethod
     def from_settings(cls, settings):
@@ -37,82 +43,85 @@
         return cls(StoreClient.from_settings(settings))
 
     def list_facts(self):
-        """List all objects."""
+        """List all objects.
+
+        :returns: messages for the directory.
+        :raises StoreError: if a call brought no answer.
+        """
         sent = read_clock()
-        listing = self._client.list_objects(self.kind)
+        listing = self._client.list_objects(objects.TARGETS_KIND)
         self._revision = listing.revision
-        return self._read_listing(listing, sent)
+        targets = {}
+        for item in listing.objects:
+            target = _read_target(item)
+            if target is not None:
+                revision = item['meta']['revision']
+                targets[target.name] = (target, revision)
+        listed = TargetsListed(targets, listing.revision, sent)
+        return [self._read_routes(), listed]
 
     def watch_facts(self, wait_s):
-        """Wait for changes."""
+        """Wait for changes.
+
+        :returns: messages for the directory.
+        :raises StoreError: if a call brought no answer.
+        """
         sent = read_clock()
-        found = self._client.watch_objects(self.kind, self._revision, wait_s)
-        self._revision = max(found.revision, self._revision)
+        found = self._client.watch_objects(
+            objects.TARGETS_KIND, self._revision, wait_s
+        )
         if found.events:
             as_of = max(sent, read_clock() - ANSWER_S)
         else:
             # The store has waited the whole time before it said "nothing".
             as_of = min(sent + wait_s, read_clock())
-        return self._read_events(found, as_of)
+        changes = _read_changes(found.events)
+        told = {item['meta']['revision'] for item, _ in found.events}
+        self._revision = max(found.revision, self._revision)
+        changed = TargetsChanged(changes, found.revision, as_of)
+        if is_explained(self._routes_revision, found.revision, told):
+            self._routes_revision = found.revision
+            return [RoutesKnown(None, 0, as_of), changed]
+        return [self._read_routes(), changed]
 
     def close(self):
         """Close the connection."""
         self._client.close()
 
-    def _read_listing(self, listing, as_of):
-        raise NotImplementedError
-
-    def _read_events(self, found, as_of):
-        raise NotImplementedError
-
-
-class RoutesSource(_Source):
-    """The configuration that the operator wrote last."""
-
-    kind = objects.CONFIG_KIND
-
-    def _read_listing(self, listing, as_of):
-        return _read_routes(listing.objects, as_of)
-
-    def _read_events(self, found, as_of):
-        present = [item for item, deleted in found.events if not deleted]
-        return _read_routes(present, as_of)
-
-
-class TargetsSource(_Source):
-    """The targets that have registered."""
+    def _read_routes(self):
+        sent = read_clock()
+        listing = self._client.list_objects(objects.CONFIG_KIND)
+        self._routes_revision = listing.revision
+        main = [
+            item
+            for item in listing.objects
+            if item['meta']['name'] == objects.CONFIG_NAME
+        ]
+        if not main:
+            return RoutesKnown(None, 0, sent)
+        routes, errors = objects.load_routes(main[0]['spec'])
+        _log_errors(errors)
+        return RoutesKnown(routes, main[0]['meta']['revision'], sent)
+
+
+def is_explained(known, revision, told):
+    """Say whether nothing but the told changes has happened.
+
+    :param known: store revision up to which all is known.
+    :param revision: the store's revision now.
+    :param told: revisions of changes that were told.
+    """
+    return all(number in told for number in range(known + 1, revision + 1))
 
-    kind = objects.TARGETS_KIND
 
-    def _read_listing(self, listing, as_of):
-        targets = {}
-        for item in listing.objects:
-            target = _read_target(item)
-            if target is not None:
-                revision = item['meta']['revision']
-                targets[target.name] = (target, revision)
-        return TargetsListed(targets, listing.revision, as_of)
-
-    def _read_events(self, found, as_of):
-        changes = []
-        for item, deleted in found.events:
-            target = None if deleted else _read_target(item)
-            if deleted or target is not None:
-                meta = item['meta']
-                changes.append((meta['name'], target, meta['revision']))
-        return TargetsChanged(tuple(changes), found.revision, as_of)
-
-
-def _read_routes(found, as_of):
-    main = [
-        item for item in found if item['meta']['name'] == objects.CONFIG_NAME
-    ]
-    if not main:
-        return RoutesKnown(None, 0, as_of)
-    newest = max(main, key=lambda item: item['meta']['revision'])
-    routes, errors = objects.load_routes(newest['spec'])
-    _log_errors(errors)
-    return RoutesKnown(routes, newest['meta']['revision'], as_of)
+def _read_changes(events):
+    changes = []
+    for item, deleted in events:
+        target = None if deleted else _read_target(item)
+        if deleted or target is not None:
+            meta = item['meta']
+            changes.append((meta['name'], target, meta['revision']))
+    return tuple(changes)
 
 
 def _read_target(item):
