--- a/bench/list_docs.py
+++ b/bench/list_docs.py
@@ -3,6 +3,7 @@
 from pathlib import Path
 
 from cornelgap.entry.metric_list import CATALOGUE
+from cornelgap.forwarding import metric_page
 from cornelgap.kernel.metrics import format_catalogue
 
 _DOC = Path(__file__).resolve().parent.parent / 'docs' / 'METRICS.md'
@@ -21,11 +22,28 @@
 
 """
 
+_FORWARDING = """
+# Metrics of an instance that forwards flows
+
+Served at `http://HOST:9464/metrics` on the users' platform.
+
+"""
+
 
 def main():
     """Write the file."""
     _DOC.parent.mkdir(exist_ok=True)
-    _DOC.write_text(_INTRO + format_catalogue(CATALOGUE))
+    _DOC.write_text(build_page())
+
+
+def build_page():
+    """Build the page from both catalogues."""
+    return (
+        _INTRO
+        + format_catalogue(CATALOGUE)
+        + _FORWARDING
+        + format_catalogue(metric_page.CATALOGUE)
+    )
 
 
 if __name__ == '__main__':
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -66,6 +66,11 @@
     """Message: give all facts as bytes for another instance; asked."""
 
 
+@dataclass(frozen=True, slots=True)
+class ReadNews:
+    """Message: give counters and gauges; asked."""
+
+
 @dataclass(frozen=True, slots=True)
 class AnnounceLeaving:
     """Message: tell the others that this instance ends."""
@@ -118,6 +123,7 @@
             EvidenceSeen: self._take_evidence,
             KeyKnown: self._take_key,
             LoadSeen: self._take_loads,
+            ReadNews: self._give_news,
             ReadSnapshot: self._give_snapshot,
             Readable: self._read,
             RoutesKnown: self._take_routes,
@@ -401,6 +407,22 @@
                 answers=message.answers,
             )
 
+    def _give_news(self, _message):
+        directory = self._directory
+        gauges = {
+            'directory_revision': {
+                'routes': directory.routes_revision,
+                'targets': directory.targets_revision,
+            },
+            'targets': len(directory.list_targets()),
+            'follows_store': int(self._following.active),
+            'instances': self._neighbours.count_zone(),
+        }
+        if directory.complete:
+            age = directory.compute_age(self._turn_at)
+            gauges['directory_age_seconds'] = age
+        return dict(self.counts), gauges
+
     # Small messages.
 
     def _take_key(self, message):
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -10,6 +10,7 @@
 from cornelgap.decisions.flow_health import FlowHealth, select_trusted
 from cornelgap.decisions.target_choice import Candidate, choose_target
 from cornelgap.forwarding import packets as pkt
+from cornelgap.forwarding.buckets import Buckets
 from cornelgap.forwarding.directory import View
 from cornelgap.forwarding.flows import FlowTable
 from cornelgap.forwarding.packets import Drop, Forward, Reason, Reset
@@ -58,6 +59,7 @@
         self._opens_second = 0
         self._opens_count = 0
         self.health = FlowHealth()
+        self.answers = Buckets()
 
     def adopt_view(self, view):
         """Use another picture of the directory from the next packet on."""
@@ -276,6 +278,8 @@
         # One with data is a new request, which may acknowledge an answer
         # of long ago; all it proves is that the last request was answered.
         answered_at = known.waiting_since if packet.size else now
+        if known.waiting_since and not packet.size:
+            self.answers.add(now - known.waiting_since)
         self.health.note_answer(cookie, answered_at)
 
     def _note_packet(self, packet, cookie, known, now):
--- a/cornelgap/forwarding/fetcher.py
+++ b/cornelgap/forwarding/fetcher.py
@@ -13,6 +13,7 @@
 from cornelgap.forwarding.facts import read_clock
 from cornelgap.forwarding.peer_messages import unpack_snapshot
 from cornelgap.kernel.names import tell_service
+from cornelgap.kernel.pages import make_tcp_server
 from cornelgap.kernel.service import Service
 
 FETCHER = 'fetcher'
@@ -94,14 +95,7 @@
                     'directory: snapshot not taken', extra={'error': repr(exc)}
                 )
 
-    server = socketserver.ThreadingTCPServer(
-        address, Handler, bind_and_activate=False
-    )
-    server.daemon_threads = True
-    server.allow_reuse_address = True
-    server.server_bind()
-    server.server_activate()
-    return server
+    return make_tcp_server(address, Handler)
 
 
 def _receive_all(address):
--- /dev/null
+++ b/cornelgap/forwarding/metric_page.py
@@ -0,0 +1,117 @@
+"""The metrics of an instance that forwards flows.
+
+docs/METRICS.md lists them from :data:`CATALOGUE`.  The metrics library is
+imported when the page is first asked for: machines of 120 MB whose metrics
+nobody collects need not carry it.
+"""
+
+from cornelgap.core.errors import Code
+from cornelgap.forwarding.packets import Reason
+from cornelgap.kernel.metrics import COUNTER, GAUGE, Metric, MetricSet, Sample
+
+_PREFIX = 'cornelgap_forwarding_'
+CATALOGUE = (
+    Metric(
+        f'{_PREFIX}packets_total',
+        COUNTER,
+        'Packets of callers by what became of them and why.',
+        ('reason',),
+    ),
+    Metric(
+        f'{_PREFIX}datagrams_refused_total',
+        COUNTER,
+        'Datagrams of callers or other instances refused, by code.',
+        ('code',),
+    ),
+    Metric(
+        f'{_PREFIX}socket_errors_total',
+        COUNTER,
+        'Datagrams that a socket did not send or receive, by error number.',
+        ('error',),
+    ),
+    Metric(
+        f'{_PREFIX}answer_seconds_bucket',
+        COUNTER,
+        'Requests by the time until their answer showed, cumulative.',
+        ('le',),
+    ),
+    Metric(
+        f'{_PREFIX}flows',
+        GAUGE,
+        'Flows that were active here in the last five seconds.',
+    ),
+    Metric(
+        f'{_PREFIX}waiting',
+        GAUGE,
+        'Flows that wait for an answer.',
+    ),
+    Metric(
+        f'{_PREFIX}directory_age_seconds',
+        GAUGE,
+        'Age of the older of both kinds of facts.',
+    ),
+    Metric(
+        f'{_PREFIX}directory_revision',
+        GAUGE,
+        'Store revision up to which facts are known.',
+        ('kind',),
+    ),
+    Metric(
+        f'{_PREFIX}targets',
+        GAUGE,
+        'Registered targets.',
+    ),
+    Metric(
+        f'{_PREFIX}follows_store',
+        GAUGE,
+        '1 while this instance follows the store, otherwise 0.',
+    ),
+    Metric(
+        f'{_PREFIX}instances',
+        GAUGE,
+        'Instances of this zone that are known, this one included.',
+    ),
+    Metric(
+        f'{_PREFIX}store_calls_total',
+        COUNTER,
+        'Calls to the store, refused ones too.',
+    ),
+)
+_REASONS = frozenset(str(reason) for reason in Reason)
+_CODES = frozenset(str(code) for code in Code)
+
+
+def make_samples(counts, gauges):
+    """Make samples of counters and gauges.
+
+    :param counts: counters by key, as the actors keep them.
+    :param gauges: values by the metric's name without its prefix; for
+        labelled ones a dict by label.
+    """
+    samples = [_make_sample(key, value) for key, value in counts.items()]
+    for name, value in gauges.items():
+        values = value.items() if isinstance(value, dict) else [((), value)]
+        for label, number in values:
+            labels = (label,) if label else ()
+            samples.append(Sample(f'{_PREFIX}{name}', number, labels))
+    return samples
+
+
+def make_page(samples):
+    """Render samples.
+
+    :returns: the page's bytes.
+    """
+    metrics = MetricSet(CATALOGUE)
+    metrics.set_samples(samples)
+    body, _ = metrics.render()
+    return body
+
+
+def _make_sample(key, value):
+    key = str(key)
+    if key in _REASONS:
+        return Sample(f'{_PREFIX}packets_total', value, (key,))
+    if key in _CODES:
+        return Sample(f'{_PREFIX}datagrams_refused_total', value, (key,))
+    return Sample(f'{_PREFIX}socket_errors_total', value, (key,))
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadCounts:
-    """Message: give counts and the time of the last packet; asked."""
+    """Message: give counters, gauges and the last packet's time; asked."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,7 +269,13 @@
         self._tell(LoadSeen(loads))
 
     def _give_counts(self, _message):
-        return dict(self.counts), self._packet_at
+        loads = self._engine.flows.loads.values()
+        gauges = {
+            'answer_seconds_bucket': dict(self._engine.answers.counts),
+            'flows': sum(load.flows for load in loads),
+            'waiting': sum(load.waiting for load in loads),
+        }
+        return dict(self.counts), gauges, self._packet_at
 
 
 def _open_socket(address):
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -15,6 +15,7 @@
     AnnounceLeaving,
     DirectoryActor,
     KeyKnown,
+    ReadNews,
     ReadSnapshot,
 )
 from cornelgap.forwarding.engine import Engine
@@ -22,14 +23,16 @@
 from cornelgap.forwarding.follower import Follower
 from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
 from cornelgap.kernel.logs import RateFilter, configure_logs
+from cornelgap.kernel.pages import make_server
+from cornelgap.kernel.supervision import Supervisor
 from cornelgap.platform import layout
 from cornelgap.platform.keys import learn_key
-from cornelgap.platform.readiness import make_server
 from cornelgap.platform.settings import VARIABLE, load_node_settings
 from cornelgap.platform.sources import StoreSource
 from cornelgap.platform.store import StoreClient
 
 EXIT_SETTINGS = 2
+EXIT_CRASHED = 3
 LOG_LINES_PER_S = 100
 """About 30 KB a second at most."""
 
@@ -43,6 +46,14 @@
 SPARE_S = 1.0
 """Left of the grace period when the process ends by itself."""
 
+READY_PATH = '/-/readiness'
+METRICS_PATH = '/metrics'
+METRICS_PORT = 9464
+"""The port that is customary for exporters; deploy/system.toml names it."""
+
+ASK_S = 1.0
+"""Longest wait for an actor's answer, seconds."""
+
 CODEC = Codec(
     layout.decode_packet,
     layout.encode_forward,
@@ -62,6 +73,7 @@
         self.leaving = threading.Event()
         self._packets = None
         self._directory = None
+        self._client = None
 
     @classmethod
     def from_settings(cls, settings):
@@ -80,11 +92,13 @@
         wait_s = compute_wait(min(settings.apply_s, settings.drain_s))
         port = settings.inner_ports[0]
         engine = Engine(settings.zone, rng)
+        Supervisor.start(name, end_crashed)
         self._packets = PacketActor.start(
             name, engine, CODEC, settings.packets, DIRECTORY
         )
         fetcher.Fetcher.start(name, port, DIRECTORY)
-        source = StoreSource.from_settings(settings)
+        self._client = StoreClient.from_settings(settings)
+        source = StoreSource(self._client)
         Follower.start(name, source, DIRECTORY, wait_s, rng, time.sleep)
         self._directory = DirectoryActor.start(
             (name, settings.zone, settings.host),
@@ -96,12 +110,30 @@
         )
         address = (settings.host, port)
         _serve(fetcher.make_server(address, self._read_snapshot))
-        _serve(make_server(settings.ready, self.is_ready))
+        _serve(make_server(settings.ready, {READY_PATH: self._make_ready}))
+        metrics = (settings.host, METRICS_PORT)
+        _serve(make_server(metrics, {METRICS_PATH: self._make_metrics}))
         threading.Thread(target=self._learn_key, daemon=True).start()
 
     def _read_snapshot(self):
         return self._directory.ask(ReadSnapshot(), timeout=fetcher.FETCH_S)
 
+    def _make_ready(self):
+        return (200 if self.is_ready() else 503), b''
+
+    def _make_metrics(self):
+        # Imported on demand, see the module's text.
+        from cornelgap.forwarding import metric_page
+
+        counts, gauges, _ = self._packets.ask(ReadCounts(), timeout=ASK_S)
+        more_counts, more_gauges = self._directory.ask(
+            ReadNews(), timeout=ASK_S
+        )
+        gauges.update(more_gauges, store_calls_total=self._client.calls)
+        counts.update(more_counts)
+        samples = metric_page.make_samples(counts, gauges)
+        return 200, metric_page.make_page(samples)
+
     def _learn_key(self):
         key = learn_key(StoreClient.from_settings(self.settings), time.sleep)
         self._directory.tell(KeyKnown(key))
@@ -113,12 +145,24 @@
         last = began + self.settings.grace_s - SPARE_S
         time.sleep(ROUTERS_S)
         while read_clock() < last:
-            _, packet_at = self._packets.ask(ReadCounts())
+            _, _, packet_at = self._packets.ask(ReadCounts(), timeout=ASK_S)
             if read_clock() - packet_at > QUIET_S:
                 return
             time.sleep(QUIET_S / 4)
 
 
+def end_crashed(name):
+    """End the process, since one of its actors has crashed.
+
+    Half a process must not go on: routers find it ready, and it would drop
+    packets or place flows by a directory that never changes again.  The
+    platform starts a new one.
+    """
+    _LOG.error('node: ends after a crash', extra={'actor': name})
+    sys.stdout.flush()
+    os._exit(EXIT_CRASHED)
+
+
 def _serve(server):
     threading.Thread(target=server.serve_forever, daemon=True).start()
 
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -16,7 +16,6 @@
     read_clock,
 )
 from cornelgap.platform import objects
-from cornelgap.platform.store import StoreClient
 
 ANSWER_S = 0.5
 """An answer that brings changes was given at most so long before it came:
@@ -28,7 +27,7 @@
 class StoreSource:
     """Follows targets and configuration over one connection.
 
-    :param client: :class:`StoreClient` of its own.
+    :param client: :class:`~cornelgap.platform.store.StoreClient` of its own.
     """
 
     def __init__(self, client):
@@ -37,11 +36,6 @@
         self._revision = 0
         self._routes_revision = 0
 
-    @classmethod
-    def from_settings(cls, settings):
-        """Make a source with a connection of its own."""
-        return cls(StoreClient.from_settings(settings))
-
     def list_facts(self):
         """List all objects.
 
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -50,3 +50,15 @@
     And a target crashes while the flows make requests
     Then its flows are reset before their callers give up
     And the next 20 flows all open on other targets
+
+  Scenario: An instance tells its metrics and answers nothing else
+    When 40 flows are opened and each makes 1 request
+    Then the metrics of all instances together count 40 placed flows
+    And a page that does not exist gives 404, another method 405
+
+  Scenario: An instance that loses one of its actors ends
+    The actor of the directory meets an error that nobody thought of.  The
+    process would look ready to routers and place flows on targets that are
+    long gone.
+    When the directory of an instance crashes
+    Then its process ends with exit code 3
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -4,11 +4,13 @@
 import tempfile
 import threading
 import time
+from http.client import HTTPConnection
 
 from behave import given, then, when
 
 from bench.procs import Proc, pick_ports, wait_for
 from cornelgap.platform.layout import parse_ip
+from cornelgap.platform.role import METRICS_PORT
 from standins.object_store import ObjectStore, start_store
 from standins.packet_ends import (
     Callers,
@@ -358,3 +360,51 @@
         'flows are settled',
     )
     assert all(flow.state == 'open' for _, flow in flows)
+
+
+@then('the metrics of all instances together count {count:d} placed flows')
+def check_metrics(context, count):
+    placed = 0
+    for host in HOSTS:
+        _, text = ask_page(host, 'GET', '/metrics')
+        lines = text.splitlines()
+        fresh = [line for line in lines if 'directory_age_seconds ' in line]
+        assert 0 <= float(fresh[-1].split()[-1]) < 5, fresh
+        placed += sum(
+            float(line.split()[-1])
+            for line in lines
+            if 'packets_total{reason="placed"}' in line
+        )
+    assert placed == count, placed
+
+
+@then('a page that does not exist gives 404, another method 405')
+def check_pages(context):
+    assert ask_page(HOSTS[0], 'GET', '/other')[0] == 404
+    assert ask_page(HOSTS[0], 'POST', '/metrics')[0] == 405
+
+
+def ask_page(host, method, path):
+    conn = HTTPConnection(host, METRICS_PORT, timeout=WAIT_S)
+    conn.request(method, path)
+    answer = conn.getresponse()
+    return answer.status, answer.read().decode()
+
+
+@when('the directory of an instance crashes')
+def crash_directory(context):
+    kill(context.procs['n1'])
+    context.crashing = Proc(
+        'crashing',
+        ['features.proofs.crashing_role'],
+        context.folder,
+        greets=False,
+        env={'CORNELGAP_CONFIG': f'{context.folder}/n1.toml'},
+        to_log=True,
+    )
+    context.cleanups.append(lambda: kill(context.crashing))
+
+
+@then('its process ends with exit code {code:d}')
+def check_exit(context, code):
+    assert context.crashing.popen.wait(WAIT_S) == code
--- a/features/steps/kernel_steps.py
+++ b/features/steps/kernel_steps.py
@@ -17,6 +17,7 @@
 from cornelgap.decisions.membership import Membership
 from cornelgap.entry import metric_list
 from cornelgap.entry.state import EntryState
+from cornelgap.forwarding import metric_page
 from cornelgap.kernel import logs, names, supervision
 from cornelgap.kernel.metrics import (
     COUNTER,
@@ -334,7 +335,12 @@
 
 @then('docs/METRICS.md lists the metrics of the code')
 def check_doc(context):
-    table = format_catalogue(metric_list.CATALOGUE)
+    for catalogue in (metric_list.CATALOGUE, metric_page.CATALOGUE):
+        check_table(catalogue)
+
+
+def check_table(catalogue):
+    table = format_catalogue(catalogue)
     assert table in DOC.read_text(), 'run: python -m bench.list_docs'
 
 
