Choose hubs by link capacity, tell loads apart from signs of life

Change: the rank of an instance goes by its link first; loads and members have slower beats of their own, summed by the first hub only; where a zone has three instances or more, two must see a target silent.

--- a/cornelgap/decisions/fanout.py
+++ b/cornelgap/decisions/fanout.py
@@ -26,9 +26,19 @@
     return set(rank_names(zone, names)[:count])
 
 
-def rank_names(zone, names):
-    """Return names in the order in which they become watchers."""
-    return sorted(names, key=lambda name: _rank_name(zone, name))
+def rank_names(zone, names, capacities=None):
+    """Return names in the order in which they become watchers.
+
+    :param capacities: numbers by name; higher ones come first.  Telling a
+        zone of its news filled the link of a small machine (5 Mbit/s), and
+        the callers' packets behind it were 0.6 s late.
+    """
+    capacities = capacities or {}
+
+    def rank(name):
+        return -capacities.get(name, 0), _rank_name(zone, name)
+
+    return sorted(names, key=rank)
 
 
 def is_watcher(own, zone, instances):
--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -68,16 +68,22 @@
 
 
 class FlowHealth:
-    """What flows say of each target; keys are any hashable names."""
+    """What flows say of each target; keys are any hashable names.
+
+    :ivar witnesses: instances whose flows must speak against a target.  An
+        instance whose own link loses packets sees all targets silent, and
+        would reset the flows of each.
+    """
 
     def __init__(self):
         """Trust everybody."""
         self._records = {}
+        self.witnesses = 1
 
     def note_repeat(self, key, flow, now, again=False):
         """Note that a caller repeated what it had sent to a target.
 
-        :param flow: hashable name of the caller's flow.
+        :param flow: tuple (instance, name of the caller's flow).
         :param again: whether it had repeated the same before.
         :returns: whether it speaks against the target.
         """
@@ -93,6 +99,9 @@
             record.avoided_until = now + length
             record.avoided += 1
         enough = sum(recent) >= SILENT_WEIGHT and SECOND_WEIGHT in recent
+        instances = {name for name, _ in record.repeats}
+        if len(instances) < self.witnesses:
+            enough = False
         if enough and now - record.answered_at >= SILENT_S:
             if now >= record.silent_until:
                 record.probe_at = now + PROBE_S
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -42,6 +42,10 @@
 BEAT_S = 0.5
 """Seconds between two beats at most; news go out at once."""
 
+MEMBERS_S = 2.0
+"""Seconds between two lists of a zone's instances; they are forgotten only
+after four."""
+
 EVIDENCE_PER_S = 20
 """Beats a second about targets that do not answer, at most.  When links
 lose packets every flow repeats, and reports of it would fill them too."""
@@ -88,7 +92,8 @@
 class DirectoryActor(Service):
     """Keeps the newest facts and spreads them.
 
-    :param own: tuple (name, zone, host) of this instance.
+    :param own: this instance,
+        :class:`~cornelgap.forwarding.neighbours.Self`.
     :param port: port of all instances for each other.
     :param wait_s: longest wait of a watch, seconds.
     :param on_complete: called once when routes and targets are known.
@@ -98,20 +103,21 @@
 
     def __init__(self, own, port, seeds, wait_s, rng, on_complete):
         """Open the socket; know nothing yet."""
-        name, zone, host = own
-        super().__init__(name, DIRECTORY)
+        super().__init__(own.name, DIRECTORY)
         self._own = own
         self._port = port
         self._boot = rng.getrandbits(48)
         self._key = None
         self._following = Following(wait_s)
         self._directory = Directory(wait_s)
-        self._neighbours = Neighbours(name, zone, host, seeds, rng)
-        self._sock = _open_socket((host, port))
+        self._neighbours = Neighbours(own, seeds, rng)
+        self._sock = _open_socket((own.host, port))
         self._on_complete = on_complete
         self._complete = False
         self._changes_at = None
         self._beat_at = float('-inf')
+        self._load_at = float('-inf')
+        self._members_at = float('-inf')
         self._turn_at = read_clock()
         self._evidence = Pacer(EVIDENCE_PER_S, EVIDENCE_PER_S)
         self._loads = {}
@@ -205,13 +211,17 @@
             return
         self._neighbours.note_beat(beat, self._turn_at)
         if beat.hello:
-            self._send_beat([host], beat.zone)
+            self._answer_hello(host, beat.zone)
         if beat.repeats or beat.answers:
             found = OthersEvidence(beat.name, beat.repeats, beat.answers)
             tell_service(self.scope, FORWARDING, found)
         if not beat.leaving:
             self._compare(beat, changes)
 
+    def _answer_hello(self, host, zone):
+        members = self._neighbours.list_members(self._turn_at, zone)
+        self._send_beat([host], zone, members=members)
+
     def _compare(self, beat, changes):
         """Take from a beat what it says of the directory."""
         news = [
@@ -292,7 +302,7 @@
                 peers.dump_change(name, target, revision, now)
                 for name, target, revision in changes
             ]
-            self._send_beat(hosts, self._own[1], changes=dumped, since=since)
+            self._send_beat(hosts, self._own.zone, changes=dumped, since=since)
 
     def _tell(self, changed):
         directory = self._directory
@@ -318,19 +328,47 @@
         self._decide_following(now)
         host = neighbours.choose_hello(now)
         if host is not None:
-            self._send_beat([host], self._own[1], hello=True)
+            self._send_beat([host], self._own.zone, hello=True)
         if now - self._beat_at >= BEAT_S:
             self._beat_at = now
-            hosts = neighbours.list_near_hosts()
-            if self._following.active:
-                hosts = neighbours.list_all_near()
-            self._send_beat(hosts, self._own[1])
-            self._send_beat(neighbours.list_far_hosts(now), '')
-            others = neighbours.sum_others(self._reported, now)
-            tell_service(
-                self.scope,
-                FORWARDING,
-                OthersLoad(others, neighbours.count_zone()),
+            self._send_regular(now)
+
+    def _send_regular(self, now):
+        neighbours = self._neighbours
+        own_zone = self._own.zone
+        parts = {}
+        if neighbours.is_hub and now - self._members_at >= MEMBERS_S:
+            self._members_at = now
+            parts['members'] = neighbours.list_members(now, own_zone)
+        if now - self._load_at >= neighbours.choose_load_pause():
+            self._load_at = now
+            self._report_load(now, parts)
+        hosts = neighbours.list_near_hosts()
+        if self._following.active:
+            hosts = neighbours.list_all_near()
+        self._send_beat(hosts, own_zone, **parts)
+        far_hosts = neighbours.list_far_hosts(now)
+        if far_hosts:
+            own_loads = neighbours.sum_zone_loads(self._loads, now)
+            self._send_beat(far_hosts, '', zone_loads=own_loads)
+
+    def _report_load(self, now, parts):
+        """Tell the packet actor of others' load, and the hub of our own."""
+        neighbours = self._neighbours
+        others = neighbours.sum_others(self._reported, now)
+        count = neighbours.count_zone()
+        tell_service(self.scope, FORWARDING, OthersLoad(others, count))
+        if neighbours.is_first_hub:
+            total = neighbours.sum_others({}, now)
+            for cookie, flows in self._loads.items():
+                total[cookie] = total.get(cookie, 0) + flows
+            parts['zone_loads'] = total
+        else:
+            self._reported = self._loads
+            self._send_beat(
+                neighbours.list_load_hosts(),
+                self._own.zone,
+                loads=self._loads,
             )
 
     def _decide_following(self, now):
@@ -372,37 +410,32 @@
         directory = self._directory
         neighbours = self._neighbours
         now = self._turn_at
-        name, own_zone, host = self._own
-        beat = peers.Beat(name, own_zone, host, self._boot, **parts)
+        own = self._own
+        beat = peers.Beat(
+            own.name, own.zone, own.host, self._boot, own.capacity, **parts
+        )
         beat.hub = neighbours.is_hub
         beat.following = self._following.active
-        beat.loads = self._loads
-        self._reported = self._loads
         if directory.complete:
             beat.routes_revision = directory.routes_revision
             beat.routes_age = _round_age(now - directory.routes_as_of)
             beat.targets_revision = directory.targets_revision
             beat.targets_changed = directory.targets_changed
             beat.targets_age = _round_age(now - directory.targets_as_of)
-        if beat.hub:
-            beat.zone_loads = neighbours.sum_zone_loads(self._loads, now)
-            beat.members = neighbours.list_members(now, zone)
-            if zone == own_zone:
-                beat.far_loads = neighbours.sum_far_loads(now)
-        elif parts.get('hello') or zone != own_zone:
+        if beat.hello or zone != own.zone:
             beat.members = neighbours.list_members(now, zone)
         return beat
 
     def _announce_leaving(self, _message):
         self._send_beat(
-            self._neighbours.list_all_near(), self._own[1], leaving=True
+            self._neighbours.list_all_near(), self._own.zone, leaving=True
         )
 
     def _take_evidence(self, message):
         if self._evidence.take(self._turn_at, urgent=True):
             self._send_beat(
                 self._neighbours.list_all_near(),
-                self._own[1],
+                self._own.zone,
                 repeats=message.repeats,
                 answers=message.answers,
             )
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -23,9 +23,15 @@
 """A target that answered within this time is not reset away from, even if
 its registration is gone: it may be cut off from the store alone."""
 
-NEWS_S = 0.5
-"""Mean age of what is known of other instances' flows: beats come twice a
-second, by way of a hub."""
+NEWS_S = 0.75
+"""Mean age of what is known of other instances' flows: reports come once or
+twice a second, by way of a hub."""
+
+OWN = ''
+"""Stands for this instance among those whose flows speak against a target."""
+
+WITNESSED = 3
+"""Instances of a zone from which on two must see a target silent."""
 
 OPEN_SHARE = 0.3
 """Weight of the last second in the rate of new flows."""
@@ -105,6 +111,7 @@
         """
         self._others = loads
         self._instances = instances
+        self.health.witnesses = 2 if instances >= WITNESSED else 1
 
     def take_evidence(self):
         """Return [cookie, flow number, whether again] of repeats since the last call."""
@@ -270,7 +277,8 @@
         return Reset(packet.ack, Reason.TARGET_GONE)
 
     def _note_repeat(self, cookie, packet, again, now):
-        if self.health.note_repeat(cookie, packet.flow, now, again):
+        flow = (OWN, packet.flow)
+        if self.health.note_repeat(cookie, flow, now, again):
             self._evidence.append([cookie, packet.source_port, int(again)])
 
     def _note_answer(self, cookie, packet, known, now):
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -6,7 +6,7 @@
 sends or receives; time is an argument, in seconds.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from cornelgap.decisions.fanout import rank_names
 
@@ -31,6 +31,12 @@
 """Seconds between two questions otherwise; they join groups of instances
 that have not heard of each other."""
 
+CROWD = 8
+CROWD_LOAD_S = 1.0
+LOAD_BEAT_S = 0.5
+"""Seconds between two reports of load; in zones of more instances than a
+crowd they come half as often, and placement spreads its flows instead."""
+
 FAR_S = 1.0
 """Seconds between two beats to hubs of other zones; these bytes cost."""
 
@@ -39,35 +45,55 @@
 class Member:
     """Another instance.
 
+    :param capacity: how much its link carries, as a power of two.
     :param direct_at: when it was last heard itself; None if never.
     :param known_at: when it was last heard or told of.
+    :param loads: flows by cookie that it has reported last.
+    :param zone_loads: the sums that it has told last as a hub.
     :param expected_since: since when its silence counts against it.
     """
 
     name: str
     zone: str
     host: str
+    capacity: int
     known_at: float
     direct_at: float | None = None
     expected_since: float | None = None
     beat: object = None
+    loads: dict = field(default_factory=dict)
+    loads_at: float = 0
+    zone_loads: dict = field(default_factory=dict)
+    zone_loads_at: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Self:
+    """Who this instance is to others."""
+
+    name: str
+    zone: str
+    host: str
+    capacity: int = 0
 
 
 class Neighbours:
     """All instances that this one has heard of.
 
+    :param own: this instance, :class:`Self`.
     :param seeds: hosts of a few instances, perhaps stale.
     """
 
-    def __init__(self, name, zone, host, seeds, rng):
+    def __init__(self, own, seeds, rng):
         """Know the seeds' addresses only."""
-        self.name = name
-        self.zone = zone
-        self.host = host
-        self._seeds = [seed for seed in seeds if seed != host]
+        self.name = own.name
+        self.zone = own.zone
+        self.host = own.host
+        self.capacity = own.capacity
+        self._seeds = [seed for seed in seeds if seed != own.host]
         self._rng = rng
         self._members = {}
-        self._hubs = [name]
+        self._hubs = [own.name]
         self._suspects = set()
         self._hello_at = float('-inf')
         self._far_at = float('-inf')
@@ -79,13 +105,19 @@
         if beat.leaving:
             self._members.pop(beat.name, None)
             return
-        member = self._add(beat.name, beat.zone, beat.host, now)
+        member = self._add(beat.name, beat.zone, beat.host, beat.capacity, now)
         member.direct_at = now
         member.expected_since = None
         member.beat = beat
-        for name, zone, host in beat.members:
+        if beat.loads:
+            member.loads = beat.loads
+            member.loads_at = now
+        if beat.zone_loads is not None:
+            member.zone_loads = beat.zone_loads
+            member.zone_loads_at = now
+        for name, zone, host, capacity in beat.members:
             if name != self.name:
-                self._add(name, zone, host, now)
+                self._add(name, zone, host, capacity, now)
 
     def expire(self, now):
         """Forget who was not heard of for long, and choose the hubs."""
@@ -103,6 +135,11 @@
         """Say whether this instance is a hub of its zone."""
         return self.name in self._hubs
 
+    @property
+    def is_first_hub(self):
+        """Say whether this instance is the hub that sums up loads."""
+        return self._hubs[0] == self.name
+
     def compute_rank(self):
         """Return how many instances of the zone precede this one."""
         ranked = self._rank()
@@ -135,13 +172,19 @@
             if name in self._members
         ]
 
+    def list_load_hosts(self):
+        """Return the hosts that are told of this instance's load."""
+        if self.is_first_hub:
+            return []
+        return [self._members[self._hubs[0]].host]
+
     def list_all_near(self):
         """Return the hosts of all other instances of this zone."""
         return [member.host for member in self._list_zone()]
 
     def list_far_hosts(self, now):
         """Return hosts of hubs of other zones if they are due a beat."""
-        if not self.is_hub or now - self._far_at < FAR_S:
+        if not self.is_first_hub or now - self._far_at < FAR_S:
             return []
         self._far_at = now
         hosts = []
@@ -164,8 +207,8 @@
         return self._rng.choice(hosts)
 
     def list_members(self, now, zone):
-        """Return [name, zone, host] of those to be told to a zone."""
-        told = [[self.name, self.zone, self.host]]
+        """Return [name, zone, host, capacity] of those to tell a zone of."""
+        told = [[self.name, self.zone, self.host, self.capacity]]
         for member in self._members.values():
             if member.direct_at is None:
                 continue
@@ -173,31 +216,36 @@
                 continue
             is_hub = member.beat is not None and member.beat.hub
             if member.zone == zone or is_hub:
-                told.append([member.name, member.zone, member.host])
+                told.append(
+                    [
+                        member.name,
+                        member.zone,
+                        member.host,
+                        member.capacity,
+                    ]
+                )
         return told
 
     def sum_zone_loads(self, own, now):
         """Return flows by cookie of the whole zone."""
         total = dict(own)
         for member in self._list_zone():
-            if _is_recent(member, now):
-                _add_loads(total, member.beat.loads)
+            if now - member.loads_at < LOAD_S:
+                _add_loads(total, member.loads)
         return total
 
     def sum_far_loads(self, now):
         """Return flows by cookie of all other zones, as hubs know them."""
         by_zone = {}
         for member in self._members.values():
-            if member.zone == self.zone or not _is_recent(member, now):
-                continue
-            if member.beat.zone_loads is None:
-                continue
-            known = by_zone.get(member.zone)
-            if known is None or member.direct_at > known.direct_at:
+            recent = now - member.zone_loads_at < LOAD_S
+            known = by_zone.get(member.zone, member)
+            newest = member.zone_loads_at >= known.zone_loads_at
+            if member.zone != self.zone and recent and newest:
                 by_zone[member.zone] = member
         total = {}
         for member in by_zone.values():
-            _add_loads(total, member.beat.zone_loads)
+            _add_loads(total, member.zone_loads)
         return total
 
     def sum_others(self, own, now):
@@ -205,36 +253,36 @@
 
         :param own: flows by cookie that this instance reported last.
         """
-        if self.is_hub:
+        if self.is_first_hub:
             total = self.sum_zone_loads({}, now)
             _add_loads(total, self.sum_far_loads(now))
             return total
-        hubs = [
-            self._members[name] for name in self._hubs if name in self._members
-        ]
         told = [
-            member
-            for member in hubs
-            if _is_recent(member, now) and member.beat.zone_loads is not None
+            self._members[name]
+            for name in self._hubs
+            if name in self._members
+            and now - self._members[name].zone_loads_at < LOAD_S
         ]
         if not told:
             return {}
-        beat = max(told, key=lambda member: member.direct_at).beat
-        total = dict(beat.far_loads)
-        _add_loads(total, beat.zone_loads)
+        total = dict(max(told, key=_get_sum_time).zone_loads)
         for cookie, flows in own.items():
             if cookie in total:
                 total[cookie] = max(0, total[cookie] - flows)
         return total
 
+    def choose_load_pause(self):
+        """Return the seconds between two reports of load."""
+        return LOAD_BEAT_S if self.count_zone() <= CROWD else CROWD_LOAD_S
+
     def count_zone(self):
         """Return the number of instances of this zone, this one included."""
         return 1 + len(self._list_zone())
 
-    def _add(self, name, zone, host, now):
+    def _add(self, name, zone, host, capacity, now):
         member = self._members.get(name)
         if member is None or member.host != host:
-            member = Member(name, zone, host, now)
+            member = Member(name, zone, host, capacity, now)
             self._members[name] = member
         member.known_at = now
         return member
@@ -247,8 +295,11 @@
         ]
 
     def _rank(self):
-        names = {member.name for member in self._list_zone()}
-        return rank_names(self.zone, names | {self.name})
+        capacities = {
+            member.name: member.capacity for member in self._list_zone()
+        }
+        capacities[self.name] = self.capacity
+        return rank_names(self.zone, capacities.keys(), capacities)
 
     def _choose_hubs(self, now):
         hubs = []
@@ -282,8 +333,8 @@
         return hubs or [members[0].host]
 
 
-def _is_recent(member, now):
-    return member.beat is not None and now - member.direct_at < LOAD_S
+def _get_sum_time(member):
+    return member.zone_loads_at
 
 
 def _add_loads(total, loads):
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -29,6 +29,7 @@
     """A sign of life with news.
 
     :param boot: random number of the process's lifetime.
+    :param capacity: how much the sender's link carries, a power of two.
     :param hello: whether the sender wants a beat back at once.
     :param hub: whether it tells the others of its zone.
     :param following: whether it follows the store.
@@ -40,18 +41,20 @@
     :param since: with ``changes``: revision that these follow on.
     :param changes: what :func:`dump_change` gives.
     :param loads: flows by cookie that the sender has seen.
-    :param zone_loads: the same for its whole zone; None if it is no hub.
-    :param far_loads: the same for all other zones, if known.
+    :param zone_loads: within a zone: flows by cookie of all instances
+        everywhere; to another zone: those of the sender's zone.
     :param repeats: lists [cookie, flow number, whether again] of callers
         that repeated.
     :param answers: cookies of targets that answer nevertheless.
-    :param members: lists [name, zone, host] of instances heard lately.
+    :param members: lists [name, zone, host, capacity] of instances heard
+        lately.
     """
 
     name: str
     zone: str
     host: str
     boot: int
+    capacity: int = 0
     hello: bool = False
     hub: bool = False
     following: bool = False
@@ -65,7 +68,6 @@
     changes: list = field(default_factory=list)
     loads: dict = field(default_factory=dict)
     zone_loads: dict | None = None
-    far_loads: dict = field(default_factory=dict)
     repeats: list = field(default_factory=list)
     answers: list = field(default_factory=list)
     members: list = field(default_factory=list)
@@ -76,9 +78,11 @@
 _EMPTY = (None, [], {})
 """Values that a beat leaves out, as its defaults say the same."""
 
+_NO_NUMBERS = (AttributeError, ArithmeticError, TypeError, ValueError)
 _MALFORMED = (zlib.error, KeyError, TypeError, ValueError)
 _NUMBERS = (
     'boot',
+    'capacity',
     'routes_revision',
     'targets_revision',
     'targets_changed',
@@ -109,7 +113,7 @@
     except TypeError as exc:
         raise CodedError(Code.PKT_FIELD, str(exc), 'beat') from exc
     _check(beat)
-    for name in ('loads', 'far_loads', 'zone_loads'):
+    for name in ('loads', 'zone_loads'):
         setattr(beat, name, _read_loads(getattr(beat, name), name))
     return beat
 
@@ -285,8 +289,9 @@
 def _are_members(members):
     return isinstance(members, list) and all(
         isinstance(item, list)
-        and len(item) == 3
-        and all(isinstance(text, str) for text in item)
+        and len(item) == 4
+        and all(isinstance(text, str) for text in item[:3])
+        and isinstance(item[3], int)
         for item in members
     )
 
@@ -309,8 +314,8 @@
     if loads is None:
         return None
     try:
-        return {int(cookie): float(flows) for cookie, flows in loads.items()}
-    except (AttributeError, TypeError, ValueError) as exc:
+        return {int(cookie): int(flows) for cookie, flows in loads.items()}
+    except _NO_NUMBERS as exc:
         raise CodedError(Code.PKT_FIELD, repr(exc), name) from exc
 
 
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -21,6 +21,7 @@
 from cornelgap.forwarding.engine import Engine
 from cornelgap.forwarding.facts import read_clock
 from cornelgap.forwarding.follower import Follower
+from cornelgap.forwarding.neighbours import Self
 from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
 from cornelgap.kernel.logs import RateFilter, configure_logs
 from cornelgap.kernel.pages import make_server
@@ -101,7 +102,7 @@
         source = StoreSource(self._client)
         Follower.start(name, source, DIRECTORY, wait_s, rng, time.sleep)
         self._directory = DirectoryActor.start(
-            (name, settings.zone, settings.host),
+            Self(name, settings.zone, settings.host, settings.capacity),
             port,
             settings.seeds,
             wait_s,
--- a/cornelgap/platform/settings.py
+++ b/cornelgap/platform/settings.py
@@ -22,6 +22,7 @@
     :param apply_s: time within which a change must be in force, seconds.
     :param drain_s: time within which a draining target must get no new
         flow, seconds.
+    :param capacity: the machine's link, in Mbit/s, as a power of two.
     :param grace_s: time between SIGTERM and SIGKILL, seconds.
     """
 
@@ -36,6 +37,7 @@
     apply_s: float
     drain_s: float
     grace_s: float
+    capacity: int
 
 
 def load_node_settings(path):
@@ -66,6 +68,7 @@
         apply_s=reader.read_number('bounds.config_apply_ms', 3000) / 1000,
         drain_s=reader.read_number('bounds.drain_ms', 3000) / 1000,
         grace_s=reader.read_number('bounds.grace_s', 6),
+        capacity=int(reader.read_number('limits.link_mbps', 0)).bit_length(),
     )
     form = reader.read('forwarding_mode', str, 'echo')
     if form != 'echo':
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -45,7 +45,9 @@
     zone_loads=st.one_of(st.none(), loads.filter(bool)),
     repeats=st.lists(st.lists(words, min_size=3, max_size=3), max_size=3),
     answers=st.lists(words, max_size=3),
-    members=st.lists(st.lists(names, min_size=3, max_size=3), max_size=3),
+    members=st.lists(
+        st.tuples(names, names, names, words).map(list), max_size=3
+    ),
 )
 
 
