--- a/cornelgap/forwarding/fetcher.py
+++ b/cornelgap/forwarding/fetcher.py
@@ -67,7 +67,7 @@
             # Beats that came during the last fetch asked for the same.
             return
         try:
-            raw = _receive_all((message.host, self._port))
+            raw = receive_all((message.host, self._port))
             snapshot = unpack_snapshot(raw, read_clock(), message.key)
         except (OSError, CodedError) as exc:
             _LOG.info(
@@ -98,7 +98,11 @@
     return make_tcp_server(address, Handler)
 
 
-def _receive_all(address):
+def receive_all(address):
+    """Receive all that a server gives.
+
+    :raises OSError: if that takes longer than a fetch may.
+    """
     ends_at = read_clock() + FETCH_S
     chunks = []
     with socket.create_connection(address, FETCH_S) as sock:
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -50,7 +50,7 @@
     :param known_at: when it was last heard or told of.
     :param loads: flows by cookie that it has reported last.
     :param zone_loads: the sums that it has told last as a hub.
-    :param expected_since: since when its silence counts against it.
+    :param expected_since: since when it should be a hub, None if it need not.
     """
 
     name: str
@@ -107,7 +107,6 @@
             return
         member = self._add(beat.name, beat.zone, beat.host, beat.capacity, now)
         member.direct_at = now
-        member.expected_since = None
         member.beat = beat
         if beat.loads:
             member.loads = beat.loads
@@ -305,22 +304,16 @@
         hubs = []
         self._suspects = set()
         for name in self._rank():
+            member = self._members.get(name)
             if len(hubs) == HUBS:
-                break
-            if name == self.name or self._may_be_hub(name, now):
+                if member is not None:
+                    member.expected_since = None
+            elif member is None or _may_be_hub(member, now):
                 hubs.append(name)
             else:
                 self._suspects.add(name)
         self._hubs = hubs
 
-    def _may_be_hub(self, name, now):
-        member = self._members[name]
-        if member.direct_at is not None and now - member.direct_at < SILENT_S:
-            return True
-        if member.expected_since is None:
-            member.expected_since = now
-        return now - member.expected_since < SILENT_S
-
     def _find_far_hubs(self, zone):
         members = [
             member for member in self._members.values() if member.zone == zone
@@ -333,6 +326,18 @@
         return hubs or [members[0].host]
 
 
+def _may_be_hub(member, now):
+    """Say whether a member that should be a hub may be alive.
+
+    Only hubs are heard by everybody, so silence counts from the moment at
+    which the member was first expected to be one.
+    """
+    if member.expected_since is None:
+        member.expected_since = now
+    heard_at = max(member.direct_at or 0, member.expected_since)
+    return now - heard_at < SILENT_S
+
+
 def _get_sum_time(member):
     return member.zone_loads_at
 
--- a/cornelgap/kernel/pages.py
+++ b/cornelgap/kernel/pages.py
@@ -12,6 +12,11 @@
 READ_S = 2.0
 """Longest silence of a connection, seconds; routers ask twice a second."""
 
+BACKLOG = 512
+"""Connections that may wait to be accepted.  All instances of a zone ask a
+hub in the same moment after a change; with the library's 5 the others'
+opening packets were dropped, and their facts were a second old."""
+
 HEAD_BYTES = 4096
 REASONS = {
     200: b'OK',
@@ -52,6 +57,7 @@
     )
     server.daemon_threads = True
     server.allow_reuse_address = True
+    server.request_queue_size = BACKLOG
     server.server_bind()
     server.server_activate()
     return server
