--- a/cornelgap/decisions/following.py
+++ b/cornelgap/decisions/following.py
@@ -28,6 +28,13 @@
 instances of lower rank are gone: wait 1 s + 0.5 s + 0.6 s + a list stays
 below the three seconds that operators are promised."""
 
+START_S = 2.0
+"""Time after the start in which an instance does not follow: it has listed
+everything once, and finds the others meanwhile.  When 63 instances started
+together and all followed until they knew each other, 75 registrations of
+targets cost 2,300 calls; what is heard late here is heard within the
+promised three seconds."""
+
 STAND_DOWN_S = 1.0
 """Time for which another must have followed before this one stops."""
 
@@ -45,12 +52,13 @@
     """Whether this instance follows the store.
 
     :param wait_s: longest wait of a watch, seconds.
-    :param active: whether it follows now; it does at its start, since
-        nobody can be asked yet.
+    :param started_at: time of the process's start, seconds.
+    :param active: whether it follows now.
     """
 
     wait_s: float
-    active: bool = True
+    started_at: float = float('-inf')
+    active: bool = False
     relieved_since: float | None = None
 
     def decide(self, now, rank, age_s, other_follows):
@@ -69,8 +77,8 @@
             relieved = self.relieved_since
             if relieved is not None and now - relieved >= STAND_DOWN_S:
                 self.active = False
-        elif rank == 0 or age_s > self.compute_limit(rank):
-            self.active = True
+        elif now - self.started_at >= START_S:
+            self.active = rank == 0 or age_s > self.compute_limit(rank)
         return self.active
 
     def compute_limit(self, rank):
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -23,7 +23,7 @@
     read_clock,
 )
 from cornelgap.forwarding.fetcher import FETCHER, Fetch, SnapshotFetched
-from cornelgap.forwarding.follower import FOLLOWER, Follow
+from cornelgap.forwarding.follower import FOLLOWER, Follow, ListOnce
 from cornelgap.forwarding.neighbours import Neighbours
 from cornelgap.forwarding.packet_actor import (
     FORWARDING,
@@ -108,7 +108,7 @@
         self._port = port
         self._boot = rng.getrandbits(48)
         self._key = None
-        self._following = Following(wait_s)
+        self._following = Following(wait_s, read_clock())
         self._directory = Directory(wait_s)
         self._neighbours = Neighbours(own, seeds, rng)
         self._sock = _open_socket((own.host, port))
@@ -144,8 +144,8 @@
         return SocketInbox(read_clock, TICK_S)
 
     def begin(self):
-        """Follow the store at first: nobody can be asked yet."""
-        self._set_following()
+        """List all facts once: nobody can be asked yet."""
+        tell_service(self.scope, FOLLOWER, ListOnce())
 
     def end(self):
         """Close the socket."""
--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -28,6 +28,11 @@
     active: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ListOnce:
+    """Message: list all facts, as often as it takes to succeed once."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Turn:
     """Message to itself: make the next call."""
@@ -55,31 +60,45 @@
         self._rng = rng
         self._pause = pause
         self._active = False
+        self._wanted = False
+        self._turning = False
         self._listed = False
         self._failing = False
-        self.handlers = {Follow: self._follow, _Turn: self._turn}
+        self.handlers = {
+            Follow: self._follow,
+            ListOnce: self._want_list,
+            _Turn: self._turn,
+        }
 
     def end(self):
         """Close the connection."""
         self._source.close()
 
     def _follow(self, message):
-        if message.active and not self._active:
-            self._listed = False
-            self.actor_ref.tell(_Turn())
         if self._active and not message.active:
             self._source.close()
         self._active = message.active
+        self._begin()
+
+    def _want_list(self, _message):
+        self._wanted = True
+        self._begin()
+
+    def _begin(self):
+        if not self._turning and (self._active or self._wanted):
+            self._turning = True
+            self.actor_ref.tell(_Turn())
 
     def _turn(self, _message):
-        if not self._active:
+        self._turning = False
+        if not self._active and not self._wanted:
             return
         try:
             self._call()
         except CodedError as exc:
             self._note_failure(exc)
             self._pause(RETRY_S * (0.5 + self._rng.random()))
-        self.actor_ref.tell(_Turn())
+        self._begin()
 
     def _call(self):
         if self._listed:
@@ -87,6 +106,7 @@
         else:
             found = self._source.list_facts()
         self._listed = True
+        self._wanted = False
         if self._failing:
             self._failing = False
             _LOG.info('follower: store is back')
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -24,8 +24,12 @@
 LOAD_S = 3.0
 """Age at which a report of load is worth nothing: callers have moved on."""
 
-HELLO_S = 1.0
-"""Seconds between two questions to seeds while nobody is known."""
+HELLO_S = 0.4
+"""Seconds between two questions while nobody is known, and just after the
+start, when most others start as well and know few."""
+
+SETTLE_S = 3.0
+"""Time after the start in which questions come that often."""
 
 REPAIR_S = 5.0
 """Seconds between two questions otherwise; they join groups of instances
@@ -95,6 +99,7 @@
         self._members = {}
         self._hubs = [own.name]
         self._suspects = set()
+        self._began_at = None
         self._hello_at = float('-inf')
         self._far_at = float('-inf')
 
@@ -194,8 +199,11 @@
 
     def choose_hello(self, now):
         """Return a host to ask who is there if a question is due."""
+        if self._began_at is None:
+            self._began_at = now
         alone = not self._list_zone()
-        pause = HELLO_S if alone else REPAIR_S
+        settling = now - self._began_at < SETTLE_S
+        pause = HELLO_S if alone or settling else REPAIR_S
         if now - self._hello_at < pause:
             return None
         known = [member.host for member in self._members.values()]
