--- a/bench/mutation.py
+++ b/bench/mutation.py
@@ -23,6 +23,7 @@
 FEATURES = (
     'features/proof_traps.feature',
     'features/forwarding_traps.feature',
+    'features/forwarding_store.feature',
     'features/proof_differential.feature',
     'features/proof_world.feature',
 )
--- /dev/null
+++ b/features/forwarding_store.feature
@@ -0,0 +1,46 @@
+Feature: The store is followed through its faults
+
+  Scenario: A listing of many pages is whole
+    Given a store with 25 targets that lists 10 objects a page
+    When a source lists it
+    Then it has 25 targets and the configuration
+
+  Scenario: A change of targets is heard without reading the configuration
+    Each call costs.  The store's revision counts every change, and this one
+    is explained by what the watch told.
+    Given a store with 3 targets that lists 10 objects a page
+    When a source lists it
+    And a target begins to drain
+    Then the next watch tells the target and calls the store once
+
+  Scenario: A change of the configuration is heard from the revision alone
+    The watch waits for targets only.  Were its revision not compared, a
+    dropped route would stay in force for ever.
+    Given a store with 3 targets that lists 10 objects a page
+    When a source lists it
+    And the configuration changes
+    Then the next watch tells the new configuration
+
+  Scenario: The history is gone
+    The store forgets its history, and a watch cannot go on from where it
+    was.  Changes in the gap would never be heard.
+    Given a store with 3 targets that lists 10 objects a page
+    When a source lists it
+    And a target leaves and the store forgets its history
+    Then the next watch fails as gone, and a list lacks the target
+
+  Scenario: A connection goes silent for good
+    No error comes, ever.  Only a time-out of our own shows it, and a new
+    connection works.
+    Given a store with 3 targets that lists 10 objects a page
+    When a source lists it
+    And the store falls silent
+    Then the next watch ends by a time-out of its own
+    And a list works once the store answers again
+
+  Scenario: A conditional write that somebody else has won
+    Two instances make the key at the same moment; with two keys half of
+    the zone would not believe the other half.
+    Given a store with 3 targets that lists 10 objects a page
+    When 5 instances learn the key at once
+    Then all of them have the same key
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -2,7 +2,7 @@
 
 from cornelgap.decisions import flow_health, following, target_choice
 from cornelgap.forwarding import directory, engine, peer_messages
-from cornelgap.platform import layout
+from cornelgap.platform import layout, sources
 
 
 def follow_carried_cookie(patches):
@@ -36,6 +36,12 @@
     patches.replace_function(directory.is_newer, lambda revision, known: True)
 
 
+def explain_all(patches):
+    patches.replace_function(
+        sources.is_explained, lambda known, revision, told: True
+    )
+
+
 def trust_after_standstill(patches):
     patches.set_attr(engine.Engine, 'distrust', lambda self, now: None)
 
@@ -155,6 +161,12 @@
         'who knows nothing fresh follows the store itself',
         trust_the_follower,
     ),
+    (
+        'revision-explained',
+        5,
+        'a revision that no told change explains is looked into',
+        explain_all,
+    ),
     (
         'standstill',
         7,
--- /dev/null
+++ b/features/steps/forwarding_store_steps.py
@@ -0,0 +1,164 @@
+"""Steps on the store's client and source against the stand-in store."""
+
+import threading
+import time
+
+from behave import given, then, when
+
+from cornelgap.core.errors import CodedError
+from cornelgap.forwarding.facts import (
+    RoutesKnown,
+    TargetsChanged,
+    TargetsListed,
+)
+from cornelgap.platform.keys import learn_key
+from cornelgap.platform.sources import StoreSource
+from cornelgap.platform.store import CALL_S, HistoryGone, StoreClient
+from standins.object_store import ObjectStore, start_store
+
+WAIT_S = 0.2
+
+
+def make_spec(number, state='ready'):
+    return {
+        'service': 'search',
+        'address': f'127.0.0.1:{8000 + number}',
+        'zone': 'a',
+        'max_concurrent': 2,
+        'state': state,
+        'warmup_left_ms': 0,
+    }
+
+
+def put_config(context, port):
+    route = {
+        'name': 'r',
+        'host': '198.18.0.1',
+        'path_prefix': f'/{port}/',
+        'service': 'search',
+    }
+    context.store.put('config', 'main', {'version': 1, 'routes': [route]})
+
+
+def pick(facts, kind):
+    (fact,) = [item for item in facts if isinstance(item, kind)]
+    return fact
+
+
+@given('a store with {count:d} targets that lists {page:d} objects a page')
+def start(context, count, page):
+    context.store = ObjectStore()
+    context.store.page = page
+    server = start_store(context.store)
+    context.cleanups.append(server.shutdown)
+    context.address = server.server_address
+    put_config(context, 443)
+    for number in range(1, count + 1):
+        context.store.put('servers', f'i-{number:08x}', make_spec(number))
+    context.client = StoreClient(context.address)
+    context.cleanups.append(context.client.close)
+    context.source = StoreSource(context.client)
+
+
+@when('a source lists it')
+def list_all(context):
+    context.facts = context.source.list_facts()
+    context.calls = context.client.calls
+
+
+@then('it has {count:d} targets and the configuration')
+def check_list(context, count):
+    assert len(pick(context.facts, TargetsListed).targets) == count
+    routes = pick(context.facts, RoutesKnown).routes
+    assert [route.port for route in routes] == [443]
+
+
+@when('a target begins to drain')
+def drain(context):
+    spec = make_spec(1, 'draining')
+    context.store.put('servers', 'i-00000001', spec)
+
+
+@then('the next watch tells the target and calls the store once')
+def check_change(context):
+    facts = context.source.watch_facts(WAIT_S)
+    ((name, target, _),) = pick(facts, TargetsChanged).changes
+    assert (name, target.draining) == ('i-00000001', True)
+    assert pick(facts, RoutesKnown).routes is None
+    assert context.client.calls == context.calls + 1
+
+
+@when('the configuration changes')
+def change_config(context):
+    put_config(context, 8443)
+
+
+@then('the next watch tells the new configuration')
+def check_config(context):
+    facts = context.source.watch_facts(WAIT_S)
+    routes = pick(facts, RoutesKnown).routes
+    assert [route.port for route in routes] == [8443]
+
+
+@when('a target leaves and the store forgets its history')
+def compact(context):
+    context.store.remove('servers', 'i-00000002')
+    context.store.compact()
+
+
+@then('the next watch fails as gone, and a list lacks the target')
+def check_gone(context):
+    try:
+        context.source.watch_facts(WAIT_S)
+    except HistoryGone:
+        list_all(context)
+    else:
+        raise AssertionError('the gap was not noticed')
+    targets = pick(context.facts, TargetsListed).targets
+    assert targets.keys() == {'i-00000001', 'i-00000003'}
+
+
+@when('the store falls silent')
+def silence(context):
+    context.store.silent = True
+
+
+@then('the next watch ends by a time-out of its own')
+def check_timeout(context):
+    began = time.monotonic()
+    try:
+        context.source.watch_facts(WAIT_S)
+    except CodedError as exc:
+        assert not exc.answered
+    else:
+        raise AssertionError('a silent store gave an answer')
+    assert time.monotonic() - began >= WAIT_S + CALL_S
+
+
+@then('a list works once the store answers again')
+def check_again(context):
+    context.store.silent = False
+    list_all(context)
+    check_list(context, 3)
+
+
+@when('{count:d} instances learn the key at once')
+def learn_keys(context, count):
+    context.keys = []
+
+    def learn():
+        client = StoreClient(context.address)
+        context.keys.append(learn_key(client, time.sleep))
+
+    threads = [threading.Thread(target=learn) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    context.count = count
+
+
+@then('all of them have the same key')
+def check_keys(context):
+    assert len(context.keys) == context.count
+    assert len(set(context.keys)) == 1
