Name the standstill once, and drop what nothing uses

Read-through of the change: both actors had a limit of their own for a standstill of the process; three names had no user; three steps repeated one wait. Behaviour and assertions are as before.

--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -17,6 +17,7 @@
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.directory import Directory
 from cornelgap.forwarding.facts import (
+    WAKE_S,
     RoutesKnown,
     TargetsChanged,
     TargetsListed,
@@ -50,10 +51,6 @@
 """Beats a second about targets that do not answer, at most.  When links
 lose packets every flow repeats, and reports of it would fill them too."""
 
-WAKE_S = 0.75
-"""After a standstill of so long, datagrams that lie in the socket state
-ages that are no longer true."""
-
 READ_BATCH = 64
 _LOG = logging.getLogger('cornelgap.directory')
 
--- a/cornelgap/forwarding/facts.py
+++ b/cornelgap/forwarding/facts.py
@@ -3,6 +3,11 @@
 import time
 from dataclasses import dataclass
 
+WAKE_S = 0.75
+"""A turn of an actor that begins so long after the last one means that the
+process stood still: its tick is due every quarter of a second.  What lies
+in a socket then is old, and ages that it states are no longer true."""
+
 
 @dataclass(frozen=True, slots=True)
 class RoutesKnown:
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from cornelgap.core.errors import CodedError
-from cornelgap.forwarding.facts import read_clock
+from cornelgap.forwarding.facts import WAKE_S, read_clock
 from cornelgap.forwarding.packets import SYN, Drop, Forward, Reason, Reset
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
@@ -18,10 +18,6 @@
 FORWARDING = 'forwarding'
 TICK_S = 0.25
 
-WAKE_S = 0.75
-"""A turn that begins so long after the last one means that the process
-stood still: its tick is due every quarter of a second."""
-
 READ_BATCH = 256
 DATAGRAM_BYTES = 2048
 RECEIVE_BUFFER = 1024 * 1024
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -12,9 +12,6 @@
 FIN = 4
 RST = 8
 
-SEQ_SPAN = 1 << 32
-"""Sequence numbers count bytes and wrap around here."""
-
 
 @dataclass(slots=True)
 class Packet:
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -12,7 +12,7 @@
 from cornelgap.decisions.following import Following
 from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding import peer_messages
-from cornelgap.forwarding.packets import Drop, Packet
+from cornelgap.forwarding.packets import Drop
 from cornelgap.platform import layout
 from features.proofs.forwarding_desk import (
     ADDRESS,
@@ -314,10 +314,3 @@
     if len(services) != 2:
         found.append('the weights are not used')
     return found[:1]
-
-
-def make_raw(**fields):
-    """Make a packet's bytes, for tests that need them."""
-    packet = make_packet(40001, pkt.SYN, **fields)
-    assert isinstance(packet, Packet)
-    return packet
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -161,8 +161,12 @@
     return flows
 
 
-def is_settled(flow):
-    return flow.state != 'opening'
+def wait_until_settled(flows):
+    wait_for(
+        lambda: all(flow.state != 'opening' for _, flow in flows),
+        WAIT_S,
+        'flows are settled',
+    )
 
 
 def ask_all(context, text):
@@ -188,11 +192,7 @@
 @when('{count:d} flows are opened and each makes {requests:d} requests')
 def run_flows(context, count, requests):
     context.flows = open_flows(context, count)
-    wait_for(
-        lambda: all(is_settled(flow) for _, flow in context.flows),
-        WAIT_S,
-        'all flows are open',
-    )
+    wait_until_settled(context.flows)
     for number in range(requests):
         ask_all(context, b'request %d' % number)
         wait_for_answers(context)
@@ -261,11 +261,7 @@
 def check_drained(context):
     def is_in_force():
         flows = open_flows(context, 30)
-        wait_for(
-            lambda: all(is_settled(flow) for _, flow in flows),
-            WAIT_S,
-            'flows are settled',
-        )
+        wait_until_settled(flows)
         dropped = [flow for name, flow in flows if name == 'archive']
         held = set(context.targets[1].flows)
         keys = {(f.key[0], f.key[1], f.key[2], f.key[3]) for _, f in flows}
@@ -323,11 +319,7 @@
 
     def is_in_force():
         flows = open_flows(context, 12, ['later'])
-        wait_for(
-            lambda: all(is_settled(flow) for _, flow in flows),
-            WAIT_S,
-            'flows are settled',
-        )
+        wait_until_settled(flows)
         return all(flow.state == 'open' for _, flow in flows)
 
     wait_for(is_in_force, 10, 'the new route is in force')
@@ -354,11 +346,7 @@
 @then('the next {count:d} flows all open on other targets')
 def check_next(context, count):
     flows = open_flows(context, count)
-    wait_for(
-        lambda: all(is_settled(flow) for _, flow in flows),
-        WAIT_S,
-        'flows are settled',
-    )
+    wait_until_settled(flows)
     assert all(flow.state == 'open' for _, flow in flows)
 
 
--- a/standins/packet_ends.py
+++ b/standins/packet_ends.py
@@ -24,7 +24,6 @@
 REPEAT_S = 0.2
 PROBE_S = 0.5
 DATAGRAM_BYTES = 2048
-ECHO_AT = 18
 
 
 def compute_sum(raw):
