Open the packet socket before the program is loaded

Cause: after a power cut of all instances routers send packets to each of them at once, since none of a zone is in rotation. Loading the program takes 0.2 s of a processor (0.4 s on the small machines of the grown sites), in which a packet met no socket; its caller repeated it after up to 0.8 s. Ruled out: time to list the store (10 ms) and readiness (routers use all instances of a zone while fewer than half are ready).

Change: role.py holds the first steps only, reads the settings and opens the socket; node.py is loaded after that. Packets wait in the socket until routes and targets are known, at most one second. A line of a placed flow names service and zone.

--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -7,7 +7,6 @@
 
 import enum
 import logging
-import socket
 from collections import Counter
 from dataclasses import dataclass
 
@@ -34,6 +33,7 @@
     OthersEvidence,
     OthersLoad,
 )
+from cornelgap.forwarding.sockets import drop_waiting, open_socket
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
@@ -108,7 +108,7 @@
         self._following = Following(wait_s, read_clock())
         self._directory = Directory(wait_s)
         self._neighbours = Neighbours(own, seeds, rng)
-        self._sock = _open_socket((own.host, port))
+        self._sock = open_socket((own.host, port))
         self._on_complete = on_complete
         self._complete = False
         self._changes_at = None
@@ -152,7 +152,7 @@
         """Notice a standstill, then handle the message."""
         now = read_clock()
         if now - self._turn_at > WAKE_S:
-            self._drain_socket()
+            drop_waiting(self._sock)
         self._turn_at = now
         return super().on_receive(message)
 
@@ -461,13 +461,6 @@
     def _take_loads(self, message):
         self._loads = message.loads
 
-    def _drain_socket(self):
-        for _ in range(READ_BATCH * READ_BATCH):
-            try:
-                self._sock.recv(peers.MAX_BYTES)
-            except OSError:
-                return
-
     # Logs.
 
     def _log_routes(self, changed, origin):
@@ -517,10 +510,3 @@
 def _round_age(age):
     # Rounded up: an age that is told too low would make old facts fresh.
     return round(age + 0.0005, 3)
-
-
-def _open_socket(address):
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.bind(address)
-    sock.setblocking(False)
-    return sock
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -4,13 +4,13 @@
 """
 
 import logging
-import socket
 from collections import Counter
 from dataclasses import dataclass
 
 from cornelgap.core.errors import CodedError
 from cornelgap.forwarding.facts import WAKE_S, read_clock
 from cornelgap.forwarding.packets import SYN, Drop, Forward, Reason, Reset
+from cornelgap.forwarding.sockets import drop_waiting
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
@@ -20,7 +20,11 @@
 
 READ_BATCH = 256
 DATAGRAM_BYTES = 2048
-RECEIVE_BUFFER = 1024 * 1024
+HELD_S = 1.0
+"""Longest time for which packets may wait for the first directory.  Callers
+repeat a SYN after 0.2 and 0.6 s and give an attempt up after 1.4 s; an
+opening that is carried on later only occupies a target."""
+
 PLACED_SAMPLE = 50
 """One of so many ordinary openings gets a line; all others are counted."""
 
@@ -113,24 +117,25 @@
     """Forwards packets.
 
     :param engine: :class:`cornelgap.forwarding.engine.Engine`.
-    :param address: tuple (host, port) to listen on; callers get packets at
-        the same port of their own.
+    :param sock: socket at which packets arrive, the actor's own from now
+        on; callers get packets at the same port of theirs.
     :param receiver: name of the service that hears of the load.
     """
 
-    def __init__(self, scope, engine, codec, address, receiver):
-        """Open the socket."""
+    def __init__(self, scope, engine, codec, sock, receiver):
+        """Let packets wait until the first view of the directory."""
         super().__init__(scope, FORWARDING)
         self._engine = engine
         self._codec = codec
-        self._port = address[1]
+        self._port = sock.getsockname()[1]
         self._receiver = receiver
-        self._sock = _open_socket(address)
-        self._turn_at = read_clock()
+        self._sock = sock
+        self._reading = False
+        self._began_at = read_clock()
+        self._turn_at = self._began_at
         self._packet_at = self._turn_at
         self._woken = False
         self.counts = Counter()
-        self.actor_inbox.add_socket(self._sock)
         self.handlers = {
             AdoptView: self._adopt_view,
             OthersEvidence: self._take_evidence,
@@ -168,6 +173,24 @@
         if message.view is not None:
             self._engine.adopt_view(message.view)
         self._engine.note_fresh(message.as_of)
+        if not self._reading:
+            self._begin_reading()
+
+    def _begin_reading(self):
+        """Read packets from now on, those that have waited first.
+
+        Without routes and targets each of them would be dropped, and its
+        caller would find out by a repeat of its own.
+        """
+        self._reading = True
+        waited_s = self._turn_at - self._began_at
+        if waited_s > HELD_S:
+            self.counts[Reason.NOT_FRESH] += drop_waiting(self._sock)
+        _LOG.info(
+            'forwarding: packets are read',
+            extra={'waited_s': round(waited_s, 3)},
+        )
+        self.actor_inbox.add_socket(self._sock)
 
     def _read(self, _message):
         self._read_batch()
@@ -231,6 +254,8 @@
                 'copy': packet.ack if packet.flags & SYN else None,
                 'cookie': packet.cookie,
                 'target': target.name if target else None,
+                'service': target.service if target else None,
+                'zone': target.zone if target else None,
                 'age_s': self._engine.read_age(self._turn_at),
             },
         )
@@ -272,11 +297,3 @@
             'waiting': sum(load.waiting for load in loads),
         }
         return dict(self.counts), gauges, self._packet_at
-
-
-def _open_socket(address):
-    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    sock.bind(address)
-    sock.setblocking(False)
-    return sock
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -1,171 +1,22 @@
-"""The program that runs on the platform's machines."""
+"""The program that runs on the platform's machines: its first steps.
+
+When all instances lose power, routers send packets to each of them from the
+moment at which it runs again.  Loading the program takes 0.2 to 0.4 s of
+such a machine's processor; packets that came meanwhile would meet no socket
+and wait for their callers' next repeats, up to 0.8 s later.  So the socket
+is opened before anything else is loaded, and packets wait in it.
+"""
 
-import logging
 import os
-import random
-import signal
 import sys
-import threading
-import time
 
-from cornelgap.decisions.following import compute_wait
-from cornelgap.forwarding import fetcher
-from cornelgap.forwarding.directory_actor import (
-    DIRECTORY,
-    AnnounceLeaving,
-    DirectoryActor,
-    KeyKnown,
-    ReadNews,
-    ReadSnapshot,
-)
-from cornelgap.forwarding.engine import Engine
-from cornelgap.forwarding.facts import read_clock
-from cornelgap.forwarding.follower import Follower
-from cornelgap.forwarding.neighbours import Self
-from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
-from cornelgap.kernel.logs import RateFilter, configure_logs
-from cornelgap.kernel.pages import make_server
-from cornelgap.kernel.supervision import Supervisor
-from cornelgap.platform import layout
-from cornelgap.platform.keys import learn_key
+from cornelgap.forwarding.sockets import open_socket
 from cornelgap.platform.settings import VARIABLE, load_node_settings
-from cornelgap.platform.sources import StoreSource
-from cornelgap.platform.store import StoreClient
 
 EXIT_SETTINGS = 2
-EXIT_CRASHED = 3
-LOG_LINES_PER_S = 100
-"""About 30 KB a second at most."""
-
-ROUTERS_S = 1.3
-"""Time in which routers notice that an instance is not ready: two missed
-questions, half a second apart, and some way."""
-
-QUIET_S = 0.4
-"""Time without a packet after which routers have surely let go."""
-
-SPARE_S = 1.0
-"""Left of the grace period when the process ends by itself."""
-
-READY_PATH = '/-/readiness'
-METRICS_PATH = '/metrics'
-METRICS_PORT = 9464
-"""The port that is customary for exporters; deploy/system.toml names it."""
-
-ASK_S = 1.0
-"""Longest wait for an actor's answer, seconds."""
-
-CODEC = Codec(
-    layout.decode_packet,
-    layout.encode_forward,
-    layout.encode_reset,
-    layout.format_ip,
-)
-_LOG = logging.getLogger('cornelgap.node')
-
-
-class Node:
-    """The tasks of one instance, started and stopped in order."""
-
-    def __init__(self, settings):
-        """Prepare; nothing runs before :meth:`start`."""
-        self.settings = settings
-        self.complete = threading.Event()
-        self.leaving = threading.Event()
-        self._packets = None
-        self._directory = None
-        self._client = None
-
-    @classmethod
-    def from_settings(cls, settings):
-        """Build the node of one process."""
-        return cls(settings)
-
-    def is_ready(self):
-        """Say whether routers should send packets."""
-        return self.complete.is_set() and not self.leaving.is_set()
-
-    def start(self):
-        """Start all tasks."""
-        settings = self.settings
-        name = settings.name
-        rng = random.Random()
-        wait_s = compute_wait(min(settings.apply_s, settings.drain_s))
-        port = settings.inner_ports[0]
-        engine = Engine(settings.zone, rng)
-        Supervisor.start(name, end_crashed)
-        self._packets = PacketActor.start(
-            name, engine, CODEC, settings.packets, DIRECTORY
-        )
-        fetcher.Fetcher.start(name, port, DIRECTORY)
-        self._client = StoreClient.from_settings(settings)
-        source = StoreSource(self._client)
-        Follower.start(name, source, DIRECTORY, wait_s, rng, time.sleep)
-        self._directory = DirectoryActor.start(
-            Self(name, settings.zone, settings.host, settings.capacity),
-            port,
-            settings.seeds,
-            wait_s,
-            rng,
-            self.complete.set,
-        )
-        address = (settings.host, port)
-        _serve(fetcher.make_server(address, self._read_snapshot))
-        _serve(make_server(settings.ready, {READY_PATH: self._make_ready}))
-        metrics = (settings.host, METRICS_PORT)
-        _serve(make_server(metrics, {METRICS_PATH: self._make_metrics}))
-        threading.Thread(target=self._learn_key, daemon=True).start()
-
-    def _read_snapshot(self):
-        return self._directory.ask(ReadSnapshot(), timeout=fetcher.FETCH_S)
-
-    def _make_ready(self):
-        return (200 if self.is_ready() else 503), b''
-
-    def _make_metrics(self):
-        # Imported on demand, see the module's text.
-        from cornelgap.forwarding import metric_page
-
-        counts, gauges, _ = self._packets.ask(ReadCounts(), timeout=ASK_S)
-        more_counts, more_gauges = self._directory.ask(
-            ReadNews(), timeout=ASK_S
-        )
-        gauges.update(more_gauges, store_calls_total=self._client.calls)
-        counts.update(more_counts)
-        samples = metric_page.make_samples(counts, gauges)
-        return 200, metric_page.make_page(samples)
-
-    def _learn_key(self):
-        key = learn_key(StoreClient.from_settings(self.settings), time.sleep)
-        self._directory.tell(KeyKnown(key))
-
-    def leave(self):
-        """Forward until routers have let go; returns when that is so."""
-        self._directory.tell(AnnounceLeaving())
-        began = read_clock()
-        last = began + self.settings.grace_s - SPARE_S
-        time.sleep(ROUTERS_S)
-        while read_clock() < last:
-            _, _, packet_at = self._packets.ask(ReadCounts(), timeout=ASK_S)
-            if read_clock() - packet_at > QUIET_S:
-                return
-            time.sleep(QUIET_S / 4)
-
-
-def end_crashed(name):
-    """End the process, since one of its actors has crashed.
-
-    Half a process must not go on: routers find it ready, and it would drop
-    packets or place flows by a directory that never changes again.  The
-    platform starts a new one.
-    """
-    _LOG.error('node: ends after a crash', extra={'actor': name})
-    sys.stdout.flush()
-    os._exit(EXIT_CRASHED)
-
-
-def _serve(server):
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+RECEIVE_BYTES = 1024 * 1024
+"""About 500 full packets with the kernel's own share: half a second of the
+busiest instance, and under a hundredth of the smallest machine's memory."""
 
 
 def main():
@@ -175,21 +26,11 @@
         print(exc, file=sys.stderr)
     if errors:
         sys.exit(EXIT_SETTINGS)
-    configure_logs(
-        {}, settings.name, sys.stdout, limit=RateFilter(LOG_LINES_PER_S)
-    )
-    node = Node.from_settings(settings)
-    signal.signal(signal.SIGTERM, lambda *_: node.leaving.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
-    node.start()
-    _LOG.info('node: started', extra={'zone': settings.zone})
-    node.leaving.wait()
-    _LOG.info('node: leaving')
-    node.leave()
-    _LOG.info('node: ended')
-    sys.stdout.flush()
-    # Actors may still wait for the store; nothing of theirs must be kept.
-    os._exit(0)
+    sock = open_socket(settings.packets, RECEIVE_BYTES)
+    # Loaded only now, see the module's text.
+    from cornelgap.platform.node import run_node
+
+    run_node(settings, sock)
 
 
 if __name__ == '__main__':
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -10,7 +10,7 @@
 
 from bench.procs import Proc, pick_ports, wait_for
 from cornelgap.platform.layout import parse_ip
-from cornelgap.platform.role import METRICS_PORT
+from cornelgap.platform.node import METRICS_PORT
 from standins.object_store import ObjectStore, start_store
 from standins.packet_ends import (
     Callers,
