Give up the targets of a zone that is away together

Cause: in a cut zone each far target was judged by its own few flows, which takes one to two seconds a target; verdicts lapsed after three seconds, and new flows were opened behind the cut all the time. Ruled out: silence of other zones' beats (one a second, so three seconds).

Change: zone_reach.py: second repeats against two targets of a zone, and no answer of any of its targets for 0.4 s, mean that it is away. New flows stay out of it but for a probe a second, and the first repeat of a flow then speaks against its target. A zone's verdict resets no flow by itself. A route with a split uses its next service if the chosen one has no target in reach.

Three stories, each red without its guard.

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -80,11 +80,13 @@
         self._records = {}
         self.witnesses = 1
 
-    def note_repeat(self, key, flow, now, again=False):
+    def note_repeat(self, key, flow, now, again=False, zone_away=False):
         """Note that a caller repeated what it had sent to a target.
 
         :param flow: tuple (instance, name of the caller's flow).
         :param again: whether it had repeated the same before.
+        :param zone_away: whether no other target of its zone answers; one
+            repeat proves enough then.
         :returns: whether it speaks against the target.
         """
         record = self._records.setdefault(key, _Record())
@@ -102,7 +104,7 @@
         instances = {name for name, _ in record.repeats}
         if len(instances) < self.witnesses:
             enough = False
-        if enough and now - record.answered_at >= SILENT_S:
+        if (enough or zone_away) and now - record.answered_at >= SILENT_S:
             if now >= record.silent_until:
                 record.probe_at = now + PROBE_S
             record.silent_until = now + SILENT_HOLD_S
@@ -170,11 +172,16 @@
     return [weight for _, weight in record.repeats.values()]
 
 
-def select_trusted(targets, is_avoided):
-    """Return the targets that are not avoided, or all if that leaves none.
+def select_pool(pools, everybody):
+    """Choose the targets that a new flow may open on.
 
     When all look bad the fault is more likely on our side or the callers'
     network; turning every flow away would be certain loss.
+
+    :param pools: lists of targets that are trusted, the best list first.
+    :param everybody: targets to take if all lists are empty.
     """
-    trusted = [target for target in targets if not is_avoided(target)]
-    return trusted or list(targets)
+    for pool in pools:
+        if pool:
+            return pool
+    return everybody
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -7,8 +7,9 @@
 """
 
 from cornelgap.decisions.averages import Average
-from cornelgap.decisions.flow_health import FlowHealth, select_trusted
+from cornelgap.decisions.flow_health import FlowHealth, select_pool
 from cornelgap.decisions.target_choice import Candidate, choose_target
+from cornelgap.decisions.zone_reach import ZoneReach
 from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding.buckets import Buckets
 from cornelgap.forwarding.directory import View
@@ -65,6 +66,7 @@
         self._opens_second = 0
         self._opens_count = 0
         self.health = FlowHealth()
+        self.reach = ZoneReach()
         self.answers = Buckets()
 
     def adopt_view(self, view):
@@ -112,6 +114,7 @@
         self._others = loads
         self._instances = instances
         self.health.witnesses = 2 if instances >= WITNESSED else 1
+        self.reach.witnesses = self.health.witnesses
 
     def take_evidence(self):
         """Return [cookie, flow number, whether again] of repeats since the last call."""
@@ -126,14 +129,13 @@
         :returns: cookies that have repeats there and answers here.
         """
         for cookie in answers:
-            self.health.note_answer(cookie, now)
+            self._judge_answer(cookie, now)
         alive = []
         for cookie, flow, again in repeats:
             if self.health.has_answered(cookie, now):
                 alive.append(cookie)
             else:
-                name = (instance, flow)
-                self.health.note_repeat(cookie, name, now, bool(again))
+                self._judge_repeat(cookie, (instance, flow), bool(again), now)
         return alive
 
     def distrust(self, now):
@@ -144,6 +146,7 @@
         """
         self._distrusted_at = now
         self.health.clear()
+        self.reach.clear()
 
     def handle(self, packet, now, late=False):
         """Decide on one packet.
@@ -176,8 +179,7 @@
             return Reset(packet.ack, Reason.NO_ROUTE)
         known = self.flows.find(packet.flow)
         tried = self._note_copy(packet, known, now)
-        service = choose_service(route, packet)
-        target = self._place(service, tried, now)
+        target = self._place(route, packet, tried, now)
         if target is None:
             if now > self.fresh_until:
                 return Drop(Reason.NOT_FRESH)
@@ -192,25 +194,45 @@
         self._note_repeat(known.cookie, packet, packet.ack > 1, now)
         return (*known.tried, known.cookie)
 
-    def _place(self, service, tried, now):
+    def _place(self, route, packet, tried, now):
+        services = order_services(route, packet)
+        avoided = self._choose_avoided_zones(now)
+        pools = (
+            self._list_trusted(service, avoided, now) for service in services
+        )
+        targets = select_pool(pools, self._list_targets(services[0]))
+        # A target that did not answer the first SYN is full or unreachable;
+        # the copy opens elsewhere while its caller still waits.
+        untried = [item for item in targets if item.cookie not in tried]
+        candidates = [
+            self._weigh(target, now) for target in (untried or targets)
+        ]
+        return choose_target(candidates, self._estimate_poured(now), self._rng)
+
+    def _list_targets(self, service):
         targets = self.view.by_service.get(service)
         if not targets:
             targets = self.view.fallback.get(service, ())
-        usable = [
+        return [
             target
             for target in targets
             if self.view.by_cookie.get(target.cookie) is not None
         ]
-        usable = select_trusted(
-            usable, lambda item: self.health.is_avoided(item.cookie, now)
-        )
-        # A target that did not answer the first SYN is full or unreachable;
-        # the copy opens elsewhere while its caller still waits.
-        untried = [item for item in usable if item.cookie not in tried]
-        candidates = [
-            self._weigh(target, now) for target in (untried or usable)
+
+    def _list_trusted(self, service, avoided, now):
+        return [
+            target
+            for target in self._list_targets(service)
+            if target.zone not in avoided
+            and not self.health.is_avoided(target.cookie, now)
+        ]
+
+    def _choose_avoided_zones(self, now):
+        return [
+            zone
+            for zone in self.reach.list_away()
+            if not self.reach.take_probe(zone, now)
         ]
-        return choose_target(candidates, self._estimate_poured(now), self._rng)
 
     def _estimate_poured(self, now):
         """Return the flows that the zone opens before others' next news.
@@ -278,9 +300,23 @@
 
     def _note_repeat(self, cookie, packet, again, now):
         flow = (OWN, packet.flow)
-        if self.health.note_repeat(cookie, flow, now, again):
+        if self._judge_repeat(cookie, flow, again, now):
             self._evidence.append([cookie, packet.source_port, int(again)])
 
+    def _judge_repeat(self, cookie, flow, again, now):
+        target = self.view.by_cookie.get(cookie)
+        zone = None if target is None else target.zone
+        if again and zone is not None:
+            self.reach.note_repeat(zone, cookie, flow[0], now)
+        zone_away = self.reach.is_away(zone)
+        return self.health.note_repeat(cookie, flow, now, again, zone_away)
+
+    def _judge_answer(self, cookie, answered_at):
+        self.health.note_answer(cookie, answered_at)
+        target = self.view.by_cookie.get(cookie)
+        if target is not None:
+            self.reach.note_answer(target.zone, answered_at)
+
     def _note_answer(self, cookie, packet, known, now):
         # A packet without data is sent at the moment when an answer came.
         # One with data is a new request, which may acknowledge an answer
@@ -288,7 +324,7 @@
         answered_at = known.waiting_since if packet.size else now
         if known.waiting_since and not packet.size:
             self.answers.add(now - known.waiting_since)
-        self.health.note_answer(cookie, answered_at)
+        self._judge_answer(cookie, answered_at)
 
     def _note_packet(self, packet, cookie, known, now):
         # The first packet that is seen of a flow says nothing: whatever it
@@ -336,18 +372,23 @@
     return cookie in view.gone
 
 
-def choose_service(route, packet):
-    """Choose the service of a new flow by the route's weights.
+def order_services(route, packet):
+    """Order a route's services for a new flow, by the route's weights.
+
+    All copies of one SYN get the same order, on any instance: it depends on
+    the flow's addresses alone.  The others follow the chosen one because a
+    zone that is cut off may have no target of it; the operator allows each
+    service of the split for these flows, so one that is in reach is right.
 
-    All copies of one SYN get the same service, on any instance: the choice
-    depends on the flow's addresses alone.
+    :returns: list of names, the chosen one first.
     """
-    if len(route.shares) == 1:
-        return route.shares[0][0]
+    names = [service for service, _ in route.shares]
+    if len(names) == 1:
+        return names
     total = sum(weight for _, weight in route.shares)
     point = hash(packet.flow) % total
-    for service, weight in route.shares:
+    for position, (_, weight) in enumerate(route.shares):
         point -= weight
         if point < 0:
-            return service
+            return names[position:] + names[:position]
     raise ValueError('a route needs positive weights')
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -142,3 +142,26 @@
     When the proof story "stranger" is played
     Then the proof checkers have no objection
     But they object once the guard "peer-key" is taken out
+
+  Scenario: A zone is cut off, and its targets fall silent together
+    Each of them holds a few flows of ours.  Judged one by one they take
+    seconds to be given up, in which an inventor's refinements wait for
+    their whole deadline and new feeds open behind the cut.
+    When the proof story "zone away" is played
+    Then the proof checkers have no objection
+    But they object once the guard "zone-reach" is taken out
+
+  Scenario: One crashed target does not speak for its zone
+    The zone's other targets had nothing to do for a moment.  If the whole
+    zone were given up, the next late answer would end a feed that is well.
+    When the proof story "zone with one dead target" is played
+    Then the proof checkers have no objection
+    But they object once the guard "zone-targets" is taken out
+
+  Scenario: One service of a split is out of reach
+    The operator sends a tenth of the feeds to the archive, and the zone
+    that has the archive's targets is cut off.  Callers would wait for it
+    while the search has room.
+    When the proof story "split in reach" is played
+    Then the proof checkers have no objection
+    But they object once the guard "split-reach" is taken out
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -1,6 +1,11 @@
 """Guards of forwarded flows, and how each is taken out."""
 
-from cornelgap.decisions import flow_health, following, target_choice
+from cornelgap.decisions import (
+    flow_health,
+    following,
+    target_choice,
+    zone_reach,
+)
 from cornelgap.forwarding import directory, engine, peer_messages
 from cornelgap.platform import layout, sources
 
@@ -78,10 +83,8 @@
 
 def trust_only_good(patches):
     patches.replace_function(
-        flow_health.select_trusted,
-        lambda targets, is_avoided: [
-            target for target in targets if not is_avoided(target)
-        ],
+        flow_health.select_pool,
+        lambda pools, everybody: next((pool for pool in pools if pool), []),
     )
 
 
@@ -104,12 +107,29 @@
 
 
 def draw_service(patches):
-    def choose_service(route, packet):
+    def order_services(route, packet):
         # Each instance draws for itself.
         draw_service.turn = (getattr(draw_service, 'turn', 0) + 1) % 2
-        return route.shares[draw_service.turn][0]
+        return [route.shares[draw_service.turn][0]]
+
+    patches.replace_function(engine.order_services, order_services)
+
+
+def judge_targets_alone(patches):
+    patches.set_attr(zone_reach.ZoneReach, 'is_away', lambda self, zone: False)
+    patches.set_attr(zone_reach.ZoneReach, 'list_away', lambda self: [])
+
 
-    patches.replace_function(engine.choose_service, choose_service)
+def believe_one_target(patches):
+    patches.set_attr(zone_reach, 'SILENT_TARGETS', 1)
+
+
+def keep_to_service(patches):
+    def order_services(route, packet):
+        names = [service for service, _ in route.shares]
+        return names[:1]
+
+    patches.replace_function(engine.order_services, order_services)
 
 
 LIST = (
@@ -217,4 +237,22 @@
         'a stranger on the port is not believed',
         believe_strangers,
     ),
+    (
+        'zone-reach',
+        1,
+        'targets of a zone that is away are given up together',
+        judge_targets_alone,
+    ),
+    (
+        'zone-targets',
+        1,
+        'one silent target says nothing of its zone',
+        believe_one_target,
+    ),
+    (
+        'split-reach',
+        1,
+        'a flow opens on the service of a split that is in reach',
+        keep_to_service,
+    ),
 )
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -314,3 +314,83 @@
     if len(services) != 2:
         found.append('the weights are not used')
     return found[:1]
+
+
+def start_two_zones():
+    """Start an engine with four targets here and four in zone b.
+
+    :returns: tuple (desk, dict caller -> target in zone b).
+    """
+    near = [make_target(number) for number in range(1, 5)]
+    far = [make_target(number, zone='b') for number in range(5, 9)]
+    desk = start_desk(*near, *far)
+    flows = {40001 + number: far[number % 4] for number in range(8)}
+    for caller, target in flows.items():
+        desk.send(caller, target, ack=1)
+        desk.send(caller, target, ack=2)
+    return desk, flows
+
+
+def play_zone_away():
+    """Another zone is cut off; each of its targets holds two of our flows."""
+    desk, flows = start_two_zones()
+    desk.pass_time(1)
+    first = list(flows)[:2]
+    for wait in (0, 0.2, 0.4):
+        desk.pass_time(wait)
+        for caller in first:
+            desk.send(caller, flows[caller], ack=2, size=100)
+    found = []
+    opened = [desk.open(caller) for caller in range(50000, 50040)]
+    if any(target.zone == 'b' for target in opened):
+        found.append('flows are opened behind the cut')
+    rest = list(flows)[2:4]
+    for caller in rest:
+        desk.send(caller, flows[caller], ack=2, size=100)
+    desk.pass_time(0.2)
+    last = [
+        desk.send(caller, flows[caller], ack=2, size=100) for caller in rest
+    ]
+    if not all(got_reset(effect) for effect in last):
+        found.append('callers wait for targets behind the cut')
+    return found
+
+
+def play_zone_with_one_dead_target():
+    """One target of another zone has crashed, the others had nothing to do."""
+    desk, flows = start_two_zones()
+    desk.pass_time(1)
+    crashed = flows[40001]
+    held = [caller for caller, target in flows.items() if target == crashed]
+    for wait in (0, 0.2, 0.4):
+        desk.pass_time(wait)
+        for caller in held:
+            desk.send(caller, crashed, ack=2, size=100)
+    # A live target's answer is late, and its caller repeats once.
+    desk.send(40002, flows[40002], ack=2, size=100)
+    desk.pass_time(0.25)
+    effect = desk.send(40002, flows[40002], ack=2, size=100)
+    if got_reset(effect):
+        return ['a flow of a live target was reset']
+    return []
+
+
+def play_split_in_reach():
+    """A route's flows go to two services; one has no target in reach."""
+    shares = (('archive', 1), ('search', 9))
+    archive = [make_target(number, 'archive', zone='b') for number in (7, 8)]
+    desk = Desk()
+    desk.set_routes(replace(make_route('search'), shares=shares))
+    desk.set_targets(SEARCH[0], *archive)
+    for caller, target in zip((40001, 40002), archive, strict=True):
+        desk.send(caller, target, ack=1)
+        desk.send(caller, target, ack=2)
+    desk.pass_time(1)
+    for wait in (0, 0.2, 0.4):
+        desk.pass_time(wait)
+        desk.send(40001, archive[0], ack=2, size=100)
+        desk.send(40002, archive[1], ack=2, size=100)
+    opened = [desk.open(caller) for caller in range(50000, 50040)]
+    if any(target.service == 'archive' for target in opened):
+        return ['flows wait for a service that is out of reach']
+    return []
