--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -353,8 +353,10 @@
         """Tell the packet actor of others' load, and the hub of our own."""
         neighbours = self._neighbours
         others = neighbours.sum_others(self._reported, now)
-        count = neighbours.count_zone()
-        tell_service(self.scope, FORWARDING, OthersLoad(others, count))
+        news = OthersLoad(
+            others, neighbours.count_zone(), neighbours.choose_load_pause()
+        )
+        tell_service(self.scope, FORWARDING, news)
         if neighbours.is_first_hub:
             total = neighbours.sum_others({}, now)
             for cookie, flows in self._loads.items():
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -25,8 +25,11 @@
 its registration is gone: it may be cut off from the store alone."""
 
 NEWS_S = 0.75
-"""Mean age of what is known of other instances' flows: reports come once or
-twice a second, by way of a hub."""
+"""Age of what is known of other instances' flows before the first report."""
+
+NEWS_PAUSES = 1.5
+"""The same in pauses between two reports: a flow waits half a pause for its
+instance's report and half a pause for the hub's, twice that at most."""
 
 OWN = ''
 """Stands for this instance among those whose flows speak against a target."""
@@ -60,6 +63,7 @@
         self.flows = FlowTable()
         self._others = {}
         self._instances = 1
+        self._news_s = NEWS_S
         self._evidence = []
         self._silent = set()
         self._opens = Average(OPEN_SHARE)
@@ -105,14 +109,16 @@
         """Return the age of the directory in seconds, for logs."""
         return round(now - self.fresh_until + FRESH_S, 3)
 
-    def note_others(self, loads, instances):
+    def note_others(self, loads, instances, pause_s):
         """Note the flows on targets that other instances see.
 
         :param loads: flows by cookie.
         :param instances: instances of this zone, this one included.
+        :param pause_s: seconds between two reports.
         """
         self._others = loads
         self._instances = instances
+        self._news_s = pause_s * NEWS_PAUSES
         self.health.witnesses = 2 if instances >= WITNESSED else 1
         self.reach.witnesses = self.health.witnesses
 
@@ -247,7 +253,7 @@
             self._opens_count = 0
         self._opens_count += 1
         rate = self._opens.read(0)
-        return 1 + rate * (self._instances - 1) * NEWS_S
+        return 1 + rate * (self._instances - 1) * self._news_s
 
     def _weigh(self, target, now):
         load = self.flows.get_load(target.cookie)
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -64,10 +64,12 @@
 
     :param loads: flows by cookie.
     :param instances: instances of this zone, this one included.
+    :param pause_s: seconds between two reports of load.
     """
 
     loads: dict
     instances: int
+    pause_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,7 +284,9 @@
         tell_service(self.scope, self._receiver, message)
 
     def _take_others(self, message):
-        self._engine.note_others(message.loads, message.instances)
+        self._engine.note_others(
+            message.loads, message.instances, message.pause_s
+        )
 
     def _tick(self, _message):
         self._engine.expire(self._turn_at)
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -137,6 +137,14 @@
     Then the proof checkers have no objection
     But they object once the guard "pour-flows" is taken out
 
+  Scenario: A new target is not rushed by instances of all zones
+    A release adds an empty target.  Instances of other zones hear seconds
+    late of the flows that it has got since, and all feeds that were opened
+    meanwhile would share its two slots.
+    When the proof story "new target" is played
+    Then the proof checkers have no objection
+    But they object once the guard "zone-first" is taken out
+
   Scenario: A stranger on the port is not believed
     Somebody on the network sends beats that name targets of his own.
     When the proof story "stranger" is played
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -95,6 +95,22 @@
     patches.replace_function(target_choice.choose_target, choose_target)
 
 
+def choose_among_all(patches):
+    def get_factor(item):
+        near = item.near
+        return (1, 0) if near else (target_choice.FAR_FACTOR, 2)
+
+    def choose_target(candidates, poured, rng):
+        vessels = []
+        for item in candidates:
+            factor, more = get_factor(item)
+            cost = target_choice.measure_cost(item) * factor + more
+            vessels.append(target_choice.Vessel(cost, item.target.slots, item))
+        return target_choice.pour(vessels, poured, rng).content.target
+
+    patches.replace_function(target_choice.choose_target, choose_target)
+
+
 def trust_the_follower(patches):
     def decide(self, now, rank, age_s, other_follows):
         return self.active
@@ -231,6 +247,12 @@
         'instances that choose at once spread their flows',
         take_the_idlest,
     ),
+    (
+        'zone-first',
+        11,
+        'instances of other zones do not rush to a new target',
+        choose_among_all,
+    ),
     (
         'peer-key',
         0,
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -256,7 +256,7 @@
         desk = Desk(seed=instance)
         desk.set_routes(make_route('search'), make_route('archive', port=80))
         desk.set_targets(*targets, archive)
-        desk.engine.note_others(loads, instances=40)
+        desk.engine.note_others(loads, instances=40, pause_s=0.5)
         for number in range(12):
             # Some seconds of flows, so that the engine knows its own rate.
             desk.pass_time(0.25)
@@ -266,6 +266,39 @@
     return [f'one target got {most} of 40 flows'] if most > 12 else []
 
 
+def play_new_target():
+    """A target is added in one of five zones of 16 instances each.
+
+    All others hold thirty flows.  Two seconds pass before the instances of
+    other zones hear what the new one has got since.
+    """
+    zones = 'abcde'
+    targets = [
+        make_target(10 * position + number, zone=zone)
+        for position, zone in enumerate(zones, start=1)
+        for number in range(1, 10)
+    ]
+    loads = {target.cookie: 30 for target in targets}
+    added = make_target(99, zone='a')
+    taken = Counter()
+    for instance in range(16 * len(zones)):
+        desk = Desk(seed=instance, zone=zones[instance % len(zones)])
+        desk.set_routes(make_route('search'), make_route('archive', port=80))
+        desk.set_targets(*targets, added, make_target(98, 'archive'))
+        desk.engine.note_others(loads, instances=16, pause_s=1)
+        # Some seconds of flows, so that the engine knows its own rate.
+        for number in range(18):
+            desk.pass_time(1 / 3)
+            desk.open(50000 + number, port=80)
+        for number in range(6):
+            desk.pass_time(1 / 3)
+            taken[desk.open(40001 + number).name] += 1
+    got = taken[added.name]
+    if got > 2 * 30:
+        return [f'the new target got {got} flows, the others hold 30']
+    return [] if got else ['the new target got no flow']
+
+
 def play_deaf_follower():
     """The store no longer tells the one that follows it, without an error."""
     others = [Following(1, active=False) for _ in range(3)]
