Write log lines without ever waiting for their reader

Cause: a collector that stops reading fills the pipe, and the next write would have stopped the actor that logs, the packet actor among them (listed as open in docs/PLATFORM.md). Ruled out: a writer thread with a queue, which costs a wake-up a line; a descriptor set to non-blocking, which all holders of it would share.

Change: LineHandler polls the descriptor and writes lines of at most PIPE_BUF bytes, which a pipe takes whole or not at all; lost lines are counted in the next one. Both programs use it.

--- a/cornelgap/kernel/logs.py
+++ b/cornelgap/kernel/logs.py
@@ -6,6 +6,8 @@
 """
 
 import logging
+import os
+import select
 import sys
 import time
 from collections import OrderedDict
@@ -114,6 +116,55 @@
         return True
 
 
+class LineHandler(logging.Handler):
+    """Writes each record as one line to a descriptor, and never waits.
+
+    A log collector that has stopped reading fills the pipe between it and
+    the process; the next plain write would block the actor that logs, and
+    with it all packets.  A pipe that polls as writable takes PIPE_BUF bytes
+    at once, so a line of that length is written whole or not at all; lines
+    that find no room are counted, and the next one that does says so in
+    ``suppressed``.
+
+    :param descriptor: number of an open file, pipe or terminal.
+    """
+
+    def __init__(self, descriptor):
+        """Write to the descriptor, which stays the caller's."""
+        super().__init__()
+        self._descriptor = descriptor
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+        self._lost = 0
+
+    def emit(self, record):
+        """Write one record, or count it as lost."""
+        missing = self._lost + getattr(record, 'suppressed', 0)
+        if missing:
+            record.suppressed = missing
+        try:
+            written = self._write(self._make_line(record))
+        except OSError:
+            # The reader has closed its end; there is nobody to tell.
+            written = False
+        self._lost = 0 if written else missing + 1
+
+    def _make_line(self, record):
+        line = f'{self.format(record)}\n'.encode()
+        if len(line) <= select.PIPE_BUF:
+            return line
+        # Only the traceback can be that long; the message still says what.
+        record.exc_info = None
+        record.exc_text = None
+        return f'{self.format(record)}\n'.encode()
+
+    def _write(self, line):
+        if len(line) > select.PIPE_BUF or not self._poll.poll(0):
+            return False
+        os.write(self._descriptor, line)
+        return True
+
+
 def check_levels(options):
     """Check the section ``[logs]`` of a process's settings.
 
@@ -142,18 +193,18 @@
 
 
 def configure_logs(
-    options, instance='', stream=None, now=time.monotonic, limit=None
+    options, instance='', handler=None, now=time.monotonic, limit=None
 ):
-    """Send all logs of the process to a stream.
+    """Send all logs of the process to a handler.
 
     :param options: section ``[logs]``, checked by :func:`check_levels`.
     :param instance: name that each line bears.
-    :param stream: standard error by default.
+    :param handler: a :class:`LineHandler` to standard error by default.
     :param limit: filter that bounds the volume; equal messages are counted
         by default.
     :returns: the handler.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or LineHandler(sys.stderr.fileno())
     handler.setFormatter(
         JsonFormatter(
             _FIELDS,
--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -23,7 +23,7 @@
 from cornelgap.forwarding.follower import Follower
 from cornelgap.forwarding.neighbours import Self
 from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
-from cornelgap.kernel.logs import RateFilter, configure_logs
+from cornelgap.kernel.logs import LineHandler, RateFilter, configure_logs
 from cornelgap.kernel.pages import make_server
 from cornelgap.kernel.supervision import Supervisor
 from cornelgap.platform import layout
@@ -177,7 +177,10 @@
     :param sock: socket at which callers' packets arrive.
     """
     configure_logs(
-        {}, settings.name, sys.stdout, limit=RateFilter(LOG_LINES_PER_S)
+        {},
+        settings.name,
+        LineHandler(sys.stdout.fileno()),
+        limit=RateFilter(LOG_LINES_PER_S),
     )
     node = Node.from_settings(settings, sock)
     signal.signal(signal.SIGTERM, lambda *_: node.leaving.set())
--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -140,3 +140,10 @@
     When 1000 lines of information and 30 warnings come in one second
     Then 20 lines pass in that second, 10 of them warnings
     And with the first line of the next second they tell of 1010 missing ones
+
+  Scenario: A log collector that has stopped reading holds nobody up
+    The pipe to it is full.  A write that waits for it would stop the task
+    that forwards packets, and every flow with it.
+    Given a log to a pipe that nobody reads
+    When 20000 lines are logged, and one more after the pipe was read
+    Then nobody has waited, each line is whole, and all 20001 are accounted
--- a/features/steps/kernel_steps.py
+++ b/features/steps/kernel_steps.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import os
 import random
 import re
 import socket
@@ -32,6 +33,8 @@
 from cornelgap.kernel.service import Service
 
 WAIT_S = 20
+PIPE_BYTES = 4 * 1024 * 1024
+NO_LOSS = {'suppressed': 0}
 DOC = Path(__file__).resolve().parents[2] / 'docs' / 'METRICS.md'
 CATALOGUE = (
     Metric('test_flows', GAUGE, 'Flows.', ('service',)),
@@ -222,7 +225,10 @@
 
     context.cleanups.append(restore)
     logs.configure_logs(
-        parse_options(levels), name, context.stream, lambda: context.log_now
+        parse_options(levels),
+        name,
+        logging.StreamHandler(context.stream),
+        lambda: context.log_now,
     )
 
 
@@ -417,3 +423,42 @@
     offer_line(context, logging.INFO, 0)
     told = [getattr(record, 'suppressed', 0) for record in context.passed]
     assert sum(told) == count, told
+
+
+@given('a log to a pipe that nobody reads')
+def make_stuck_log(context):
+    reader, writer = os.pipe()
+    context.cleanups += [lambda: os.close(reader), lambda: os.close(writer)]
+    context.reader = reader
+    context.line_handler = logs.LineHandler(writer)
+
+
+def offer_to_pipe(context, number, count=1):
+    for _ in range(count):
+        record = logging.makeLogRecord({'msg': f'line {number}'})
+        context.line_handler.setFormatter(
+            logging.Formatter('%(message)s %(suppressed)s', defaults=NO_LOSS)
+        )
+        context.line_handler.emit(record)
+
+
+@when('{count:d} lines are logged, and one more after the pipe was read')
+def fill_pipe(context, count):
+    done = threading.Thread(
+        target=offer_to_pipe, args=(context, 1, count), daemon=True
+    )
+    done.start()
+    done.join(WAIT_S)
+    context.blocked = done.is_alive()
+    context.lines = os.read(context.reader, PIPE_BYTES).splitlines()
+    offer_to_pipe(context, 2)
+    context.lines += os.read(context.reader, PIPE_BYTES).splitlines()
+
+
+@then('nobody has waited, each line is whole, and all {count:d} are accounted')
+def check_pipe(context, count):
+    assert not context.blocked
+    assert all(line.startswith(b'line ') for line in context.lines)
+    missing = sum(int(line.split()[-1]) for line in context.lines)
+    assert missing > 0
+    assert len(context.lines) + missing == count
