Explain a failed flow from the logs of all instances

`cornelgap explain SUBJECT LOG...` merges the logs of many instances and shows the lines of a flow, target or instance, the changes of the targets that the flow was on and what its instances believed then, in words or as JSON, and the last decision that was not ordinary.

For that, instances log what they had kept to themselves: targets given up, zones away; a flow is named ADDRESS:PORT>ADDRESS:PORT instead of four numbers.

--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -105,6 +105,11 @@
             for key, acked in self.flows.list_waiting(fresh)
         ]
 
+    def name_silent(self):
+        """Return the names of targets that were given up last, in order."""
+        found = map(self.view.by_cookie.get, self._silent)
+        return sorted(target.name for target in found if target is not None)
+
     def read_age(self, now):
         """Return the age of the directory in seconds, for logs."""
         return round(now - self.fresh_until + FRESH_S, 3)
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -137,6 +137,8 @@
         self._turn_at = self._began_at
         self._packet_at = self._turn_at
         self._woken = False
+        self._silent = []
+        self._away = []
         self.counts = Counter()
         self.handlers = {
             AdoptView: self._adopt_view,
@@ -202,10 +204,39 @@
             self._give_up_silent()
 
     def _give_up_silent(self):
-        for key, reset in self._engine.give_up_silent(self._turn_at):
+        due = self._engine.give_up_silent(self._turn_at)
+        self._log_beliefs()
+        for key, reset in due:
             self.counts[reset.reason] += 1
             self._send_reset(key, reset.seq)
-            _LOG.info(_TEXTS[Reset], extra={'flow': key, 'why': reset.reason})
+            _LOG.info(
+                _TEXTS[Reset],
+                extra={'flow': self._name_flow(key), 'why': reset.reason},
+            )
+
+    def _name_flow(self, key):
+        source, source_port, destination, destination_port = key
+        caller = f'{self._codec.format_ip(source)}:{source_port}'
+        return (
+            f'{caller}>{self._codec.format_ip(destination)}:{destination_port}'
+        )
+
+    def _log_beliefs(self):
+        """Tell which targets and zones are judged otherwise than before."""
+        silent = self._engine.name_silent()
+        if silent != self._silent:
+            _LOG.info(
+                'forwarding: targets given up',
+                extra={'silent': silent, 'before': self._silent},
+            )
+            self._silent = silent
+        away = self._engine.reach.list_away()
+        if away != self._away:
+            _LOG.info(
+                'forwarding: zones away',
+                extra={'zones': away, 'before': self._away},
+            )
+            self._away = away
 
     def _send_reset(self, key, seq):
         caller = (self._codec.format_ip(key[0]), self._port)
@@ -251,7 +282,7 @@
         _LOG.info(
             _TEXTS[type(effect)],
             extra={
-                'flow': packet.flow,
+                'flow': self._name_flow(packet.flow),
                 'why': effect.reason,
                 'copy': packet.ack if packet.flags & SYN else None,
                 'cookie': packet.cookie,
@@ -290,6 +321,7 @@
 
     def _tick(self, _message):
         self._engine.expire(self._turn_at)
+        self._give_up_silent()
         loads = self._engine.flows.count_flows()
         self._tell(LoadSeen(loads))
 
--- a/cornelgap/operators/main.py
+++ b/cornelgap/operators/main.py
@@ -11,6 +11,7 @@
 from cornelgap import operators
 from cornelgap.core.errors import CodedError
 from cornelgap.operators import (
+    explain_commands,
     fleet_commands,
     folder_commands,
     key_commands,
@@ -29,6 +30,7 @@
     app.command(folder_commands.apply)
     app.command(trail_commands.history)
     app.command(trail_commands.audit_trail, name='audit')
+    app.command(explain_commands.explain)
     app.command(fleet_commands.status)
     app.command(fleet_commands.drain)
     app.command(fleet_commands.undrain)
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -35,6 +35,7 @@
     And a target begins to drain and a route is dropped
     Then within 3 s no new flow reaches the target or the route
     And the flows that the target holds go on
+    And explaining a refused flow tells "has no route to this address"
 
   Scenario: The store is away, and instances restart without it
     An outage must not end open flows.  An instance that restarts then knows
@@ -50,6 +51,7 @@
     And a target crashes while the flows make requests
     Then its flows are reset before their callers give up
     And the next 20 flows all open on other targets
+    And explaining a flow that was reset names the target and "had answered nobody"
 
   Scenario: An instance tells its metrics and answers nothing else
     When 40 flows are opened and each makes 1 request
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -1,6 +1,9 @@
 """Steps that run the forwarding instances as processes over loopback."""
 
 import signal
+import socket
+import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -270,6 +273,8 @@
         )
 
     wait_for(is_in_force, 3, 'the change is in force')
+    context.refused = open_flows(context, 3, ['archive'])
+    wait_until_settled(context.refused)
 
 
 @then('the flows that the target holds go on')
@@ -396,3 +401,39 @@
 @then('its process ends with exit code {code:d}')
 def check_exit(context, code):
     assert context.crashing.popen.wait(WAIT_S) == code
+
+
+def explain(context, flow):
+    logs = [str(proc.log) for proc in context.procs.values()]
+    address = socket.inet_ntoa(flow.key[0].to_bytes(4))
+    done = subprocess.run(
+        [
+            sys.executable,
+            '-m',
+            'cornelgap.operators.main',
+            'explain',
+            f'{address}:{flow.key[1]}',
+            *logs,
+        ],
+        capture_output=True,
+        check=False,
+    )
+    assert done.returncode == 0, done.stderr
+    return done.stdout.decode()
+
+
+@then('explaining a flow that was reset names the target and "{text}"')
+def explain_reset(context, text):
+    flow = next(one for _, one in context.flows if one.state == 'reset')
+    told = explain(context, flow)
+    assert text in told.splitlines()[-1], told
+    assert 'targets given up' in told, told
+    assert f'i-{1:08x}' in told, told
+
+
+@then('explaining a refused flow tells "{text}"')
+def explain_refused(context, text):
+    _, flow = context.refused[0]
+    told = explain(context, flow)
+    assert text in told.splitlines()[-1], told
+    assert 'routes adopted' in told, told
