Split the directory actor: news, beats and log lines stand apart

news.py takes from a beat what it says of the directory, without a socket; beats.py makes and sends beats; directory_log.py holds the log lines.

--- /dev/null
+++ b/cornelgap/forwarding/beats.py
@@ -0,0 +1,73 @@
+"""Sends an instance's beats, with what it knows and how old that is."""
+
+from collections import Counter
+
+from cornelgap.forwarding import peer_messages as peers
+
+
+class BeatSender:
+    """Makes beats of the present state and sends them.
+
+    :param own: this instance, :class:`~cornelgap.forwarding.neighbours.Self`.
+    :param boot: random number of the process's lifetime.
+    :param directory: :class:`~cornelgap.forwarding.directory.Directory`.
+    :param neighbours: :class:`~cornelgap.forwarding.neighbours.Neighbours`.
+    :param sock: socket to send from.
+    :param port: port of all instances for each other.
+    :ivar key: the key under which instances talk; None until it is known,
+        and nothing is sent so long.
+    :ivar counts: beats that could not be sent, by reason.
+    """
+
+    def __init__(self, own, boot, directory, neighbours, sock, port):
+        """Send nothing before the key is known."""
+        self._own = own
+        self._boot = boot
+        self._directory = directory
+        self._neighbours = neighbours
+        self._sock = sock
+        self._port = port
+        self.key = None
+        self.counts = Counter()
+
+    def send(self, hosts, zone, following, now, **parts):
+        """Send one beat to some hosts.
+
+        :param zone: zone of the hosts; another one's get the members too.
+        :param following: whether this instance follows the store.
+        :param parts: further fields of
+            :class:`~cornelgap.forwarding.peer_messages.Beat`.
+        """
+        if not hosts or self.key is None:
+            return
+        beat = self._make_beat(zone, now, parts)
+        beat.following = following
+        raw = peers.encode_beat(beat, self.key)
+        for host in hosts:
+            try:
+                self._sock.sendto(raw, (host, self._port))
+            except OSError as exc:
+                # Nobody can be reached there now; the next beat tries again.
+                self.counts[f'unsent_{exc.errno}'] += 1
+
+    def _make_beat(self, zone, now, parts):
+        directory = self._directory
+        own = self._own
+        beat = peers.Beat(
+            own.name, own.zone, own.host, self._boot, own.capacity, **parts
+        )
+        beat.hub = self._neighbours.is_hub
+        if directory.complete:
+            beat.routes_revision = directory.routes_revision
+            beat.routes_age = _round_age(now - directory.routes_as_of)
+            beat.targets_revision = directory.targets_revision
+            beat.targets_changed = directory.targets_changed
+            beat.targets_age = _round_age(now - directory.targets_as_of)
+        if beat.hello or zone != own.zone:
+            beat.members = self._neighbours.list_members(now, zone)
+        return beat
+
+
+def _round_age(age):
+    # Rounded up: an age that is told too low would make old facts fresh.
+    return round(age + 0.0005, 3)
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -5,7 +5,6 @@
 change and hears how fresh it is.
 """
 
-import enum
 import logging
 from collections import Counter
 from dataclasses import dataclass
@@ -13,7 +12,9 @@
 from cornelgap.core.errors import CodedError
 from cornelgap.decisions.following import Following
 from cornelgap.decisions.pacing import Pacer
+from cornelgap.forwarding import directory_log
 from cornelgap.forwarding import peer_messages as peers
+from cornelgap.forwarding.beats import BeatSender
 from cornelgap.forwarding.directory import Directory
 from cornelgap.forwarding.facts import (
     WAKE_S,
@@ -25,6 +26,7 @@
 from cornelgap.forwarding.fetcher import FETCHER, Fetch, SnapshotFetched
 from cornelgap.forwarding.follower import FOLLOWER, Follow, ListOnce
 from cornelgap.forwarding.neighbours import Neighbours
+from cornelgap.forwarding.news import News, compare_beat
 from cornelgap.forwarding.packet_actor import (
     FORWARDING,
     AdoptView,
@@ -77,15 +79,6 @@
     """Message: tell the others that this instance ends."""
 
 
-class _News(enum.Enum):
-    """What a beat means for this instance's own facts."""
-
-    NONE = 'none'
-    CONFIRMED = 'confirmed'
-    CHANGED = 'changed'
-    BEHIND = 'behind'
-
-
 class DirectoryActor(Service):
     """Keeps the newest facts and spreads them.
 
@@ -102,13 +95,18 @@
         """Open the socket; know nothing yet."""
         super().__init__(own.name, DIRECTORY)
         self._own = own
-        self._port = port
-        self._boot = rng.getrandbits(48)
-        self._key = None
         self._following = Following(wait_s, read_clock())
         self._directory = Directory(wait_s)
         self._neighbours = Neighbours(own, seeds, rng)
         self._sock = open_socket((own.host, port))
+        self._beats = BeatSender(
+            own,
+            rng.getrandbits(48),
+            self._directory,
+            self._neighbours,
+            self._sock,
+            port,
+        )
         self._on_complete = on_complete
         self._complete = False
         self._changes_at = None
@@ -165,14 +163,16 @@
             self._spread(changed=False)
             return
         changed = directory.adopt_routes(fact.routes, fact.revision, fact.as_of)
-        self._log_routes(changed, 'store')
+        if changed:
+            directory_log.log_routes(directory, 'store', self._turn_at)
         self._spread(changed)
 
     def _take_list(self, fact):
         changed = self._directory.adopt_targets(
             fact.targets, fact.revision, fact.as_of, self._turn_at
         )
-        self._log_targets(changed, 'store')
+        if changed:
+            directory_log.log_targets(self._directory, 'store')
         self._spread(changed)
 
     def _take_changes(self, fact):
@@ -180,7 +180,7 @@
         changed = self._directory.apply_targets(
             fact.changes, fact.revision, fact.as_of, self._turn_at
         )
-        self._log_changes(fact.changes, 'store')
+        directory_log.log_changes(fact.changes, 'store')
         self._spread(changed, fact.changes if changed else (), since)
 
     # Facts of other instances.
@@ -194,12 +194,12 @@
             except OSError as exc:
                 self.counts[f'socket_{exc.errno}'] += 1
                 continue
-            if self._key is not None:
+            if self._beats.key is not None:
                 self._take_datagram(raw, host)
 
     def _take_datagram(self, raw, host):
         try:
-            beat = peers.decode_beat(raw, self._key)
+            beat = peers.decode_beat(raw, self._beats.key)
             changes = [
                 peers.load_change(item, self._turn_at) for item in beat.changes
             ]
@@ -221,43 +221,14 @@
 
     def _compare(self, beat, changes):
         """Take from a beat what it says of the directory."""
-        news = [
-            self._compare_routes(beat),
-            self._compare_targets(beat, changes),
-        ]
-        if _News.BEHIND in news:
-            tell_service(self.scope, FETCHER, Fetch(beat.host, self._key))
-        if _News.CHANGED in news or _News.CONFIRMED in news:
-            self._tell(_News.CHANGED in news)
-
-    def _compare_routes(self, beat):
-        directory = self._directory
-        if beat.routes_age is None:
-            return _News.NONE
-        if beat.routes_revision > directory.routes_revision:
-            return _News.BEHIND
-        if beat.routes_revision < directory.routes_revision:
-            return _News.NONE
-        directory.confirm_routes(self._turn_at - beat.routes_age)
-        return _News.CONFIRMED
-
-    def _compare_targets(self, beat, changes):
-        directory = self._directory
-        now = self._turn_at
-        if beat.targets_age is None:
-            return _News.NONE
-        if directory.targets_as_of is None:
-            return _News.BEHIND
-        known = directory.targets_revision
-        as_of = now - beat.targets_age
-        if beat.targets_changed <= known <= beat.targets_revision:
-            directory.apply_targets((), beat.targets_revision, as_of, now)
-            return _News.CONFIRMED
-        if changes and beat.since <= known < beat.targets_revision:
-            directory.apply_targets(changes, beat.targets_revision, as_of, now)
-            self._log_changes(changes, beat.name)
-            return _News.CHANGED
-        return _News.BEHIND if beat.targets_changed > known else _News.NONE
+        news = compare_beat(self._directory, beat, changes, self._turn_at)
+        if News.BEHIND in news:
+            fetch = Fetch(beat.host, self._beats.key)
+            tell_service(self.scope, FETCHER, fetch)
+        if News.CHANGED in news:
+            directory_log.log_changes(changes, beat.name)
+        if news & {News.CHANGED, News.CONFIRMED}:
+            self._tell(News.CHANGED in news)
 
     def _take_snapshot(self, message):
         snapshot = message.snapshot
@@ -268,20 +239,24 @@
             snapshot.routes_revision,
             message.sent_at - snapshot.routes_age,
         )
-        self._log_routes(changed, message.host)
+        if changed:
+            directory_log.log_routes(directory, message.host, now)
         targets_changed = directory.adopt_targets(
             snapshot.targets,
             snapshot.targets_revision,
             message.sent_at - snapshot.targets_age,
             now,
         )
-        self._log_targets(targets_changed, message.host)
+        if targets_changed:
+            directory_log.log_targets(directory, message.host)
         self._spread(changed or targets_changed)
 
     def _give_snapshot(self, _message):
-        if self._key is None or not self._directory.complete:
+        if self._beats.key is None or not self._directory.complete:
             return b''
-        return peers.pack_snapshot(self._directory, read_clock(), self._key)
+        return peers.pack_snapshot(
+            self._directory, read_clock(), self._beats.key
+        )
 
     # What this instance tells.
 
@@ -395,35 +370,8 @@
         tell_service(self.scope, FOLLOWER, Follow(self._following.active))
 
     def _send_beat(self, hosts, zone, **parts):
-        if not hosts or self._key is None:
-            return
-        raw = peers.encode_beat(self._make_beat(zone, parts), self._key)
-        for host in hosts:
-            try:
-                self._sock.sendto(raw, (host, self._port))
-            except OSError as exc:
-                # Nobody can be reached there now; the next beat tries again.
-                self.counts[f'unsent_{exc.errno}'] += 1
-
-    def _make_beat(self, zone, parts):
-        directory = self._directory
-        neighbours = self._neighbours
-        now = self._turn_at
-        own = self._own
-        beat = peers.Beat(
-            own.name, own.zone, own.host, self._boot, own.capacity, **parts
-        )
-        beat.hub = neighbours.is_hub
-        beat.following = self._following.active
-        if directory.complete:
-            beat.routes_revision = directory.routes_revision
-            beat.routes_age = _round_age(now - directory.routes_as_of)
-            beat.targets_revision = directory.targets_revision
-            beat.targets_changed = directory.targets_changed
-            beat.targets_age = _round_age(now - directory.targets_as_of)
-        if beat.hello or zone != own.zone:
-            beat.members = neighbours.list_members(now, zone)
-        return beat
+        following = self._following.active
+        self._beats.send(hosts, zone, following, self._turn_at, **parts)
 
     def _announce_leaving(self, _message):
         self._send_beat(
@@ -453,62 +401,12 @@
         if directory.complete:
             age = directory.compute_age(self._turn_at)
             gauges['directory_age_seconds'] = age
-        return dict(self.counts), gauges
+        return dict(self.counts + self._beats.counts), gauges
 
     # Small messages.
 
     def _take_key(self, message):
-        self._key = message.key
+        self._beats.key = message.key
 
     def _take_loads(self, message):
         self._loads = message.loads
-
-    # Logs.
-
-    def _log_routes(self, changed, origin):
-        if changed:
-            directory = self._directory
-            _LOG.info(
-                'directory: routes adopted',
-                extra={
-                    'from': origin,
-                    'revision': directory.routes_revision,
-                    'routes': len(directory.list_routes()),
-                    'age_s': round(self._turn_at - directory.routes_as_of, 3),
-                },
-            )
-
-    def _log_targets(self, changed, origin):
-        if changed:
-            directory = self._directory
-            _LOG.info(
-                'directory: targets listed',
-                extra={
-                    'from': origin,
-                    'revision': directory.targets_revision,
-                    'targets': len(directory.list_targets()),
-                },
-            )
-
-    def _log_changes(self, changes, origin):
-        for name, target, revision in changes:
-            _LOG.info(
-                'directory: target changed',
-                extra={
-                    'from': origin,
-                    'target': name,
-                    'state': _name_state(target),
-                    'revision': revision,
-                },
-            )
-
-
-def _name_state(target):
-    if target is None:
-        return 'gone'
-    return 'draining' if target.draining else 'ready'
-
-
-def _round_age(age):
-    # Rounded up: an age that is told too low would make old facts fresh.
-    return round(age + 0.0005, 3)
--- /dev/null
+++ b/cornelgap/forwarding/directory_log.py
@@ -0,0 +1,56 @@
+"""Log lines about what the directory has learnt, and from whom."""
+
+import logging
+
+_LOG = logging.getLogger('cornelgap.directory')
+
+
+def log_routes(directory, origin, now):
+    """Log that a configuration was adopted.
+
+    :param origin: ``store``, or the host of another instance.
+    """
+    _LOG.info(
+        'directory: routes adopted',
+        extra={
+            'from': origin,
+            'revision': directory.routes_revision,
+            'routes': len(directory.list_routes()),
+            'age_s': round(now - directory.routes_as_of, 3),
+        },
+    )
+
+
+def log_targets(directory, origin):
+    """Log that a list of targets was adopted."""
+    _LOG.info(
+        'directory: targets listed',
+        extra={
+            'from': origin,
+            'revision': directory.targets_revision,
+            'targets': len(directory.list_targets()),
+        },
+    )
+
+
+def log_changes(changes, origin):
+    """Log single changes of targets.
+
+    :param changes: tuples (name, target or None, revision of its entry).
+    """
+    for name, target, revision in changes:
+        _LOG.info(
+            'directory: target changed',
+            extra={
+                'from': origin,
+                'target': name,
+                'state': _name_state(target),
+                'revision': revision,
+            },
+        )
+
+
+def _name_state(target):
+    if target is None:
+        return 'gone'
+    return 'draining' if target.draining else 'ready'
--- /dev/null
+++ b/cornelgap/forwarding/news.py
@@ -0,0 +1,59 @@
+"""What another instance's beat means for the own directory.
+
+A beat states revisions and ages, and small changes in full.  Equal
+revisions confirm what is known, changes that follow on it are applied, and
+whoever is further behind has to fetch a snapshot.
+"""
+
+import enum
+
+
+class News(enum.Enum):
+    """What a beat means for one kind of facts."""
+
+    NONE = 'none'
+    CONFIRMED = 'confirmed'
+    CHANGED = 'changed'
+    BEHIND = 'behind'
+
+
+def compare_beat(directory, beat, changes, now):
+    """Take from a beat what it says of the directory.
+
+    :param directory: :class:`~cornelgap.forwarding.directory.Directory`,
+        which takes in confirmations and changes.
+    :param beat: :class:`~cornelgap.forwarding.peer_messages.Beat`.
+    :param changes: the beat's changes of targets, loaded.
+    :returns: set of :class:`News`, one of routes and one of targets.
+    """
+    return {
+        _compare_routes(directory, beat, now),
+        _compare_targets(directory, beat, changes, now),
+    }
+
+
+def _compare_routes(directory, beat, now):
+    if beat.routes_age is None:
+        return News.NONE
+    if beat.routes_revision > directory.routes_revision:
+        return News.BEHIND
+    if beat.routes_revision < directory.routes_revision:
+        return News.NONE
+    directory.confirm_routes(now - beat.routes_age)
+    return News.CONFIRMED
+
+
+def _compare_targets(directory, beat, changes, now):
+    if beat.targets_age is None:
+        return News.NONE
+    if directory.targets_as_of is None:
+        return News.BEHIND
+    known = directory.targets_revision
+    as_of = now - beat.targets_age
+    if beat.targets_changed <= known <= beat.targets_revision:
+        directory.apply_targets((), beat.targets_revision, as_of, now)
+        return News.CONFIRMED
+    if changes and beat.since <= known < beat.targets_revision:
+        directory.apply_targets(changes, beat.targets_revision, as_of, now)
+        return News.CHANGED
+    return News.BEHIND if beat.targets_changed > known else News.NONE
