Press a store that turns an instance away less and less

Change: the pause doubles up to one second, with the same jitter. The scenario was seen red without the doubling.

--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -18,6 +18,11 @@
 """Pause after a failed call; with jitter of half of it either way, so that
 instances do not come back to a restarted store in one moment."""
 
+LONGEST_RETRY_S = 1.0
+"""Bound of the pause, which doubles with each failure in a row.  A store that
+turns some machines away for seconds gets a call a second of each, and the
+first call after its return comes within the bounds of a change."""
+
 GATHER_S = 0.25
 """Pause after an answer that told changes.  While targets are replaced or
 started, their registrations change many times a second, and each change
@@ -73,7 +78,7 @@
         self._turning = False
         self._listed = False
         self._gathering = False
-        self._failing = False
+        self._failures = 0
         self.handlers = {
             Follow: self._follow,
             ListOnce: self._want_list,
@@ -109,7 +114,7 @@
             # An answer that is not what it should be must not end the task:
             # all instances would get it, and end together.
             self._note_failure(exc)
-            self._pause(RETRY_S * (0.5 + self._rng.random()))
+            self._pause(compute_pause(self._failures, self._rng))
         self._begin()
 
     def _call(self):
@@ -119,8 +124,8 @@
             found = self._source.list_facts()
         self._listed = True
         self._wanted = False
-        if self._failing:
-            self._failing = False
+        if self._failures:
+            self._failures = 0
             _LOG.info('follower: store is back')
         for fact in found:
             tell_service(self.scope, self._receiver, fact)
@@ -136,8 +141,8 @@
 
     def _note_failure(self, exc):
         self._listed = False
-        if not self._failing:
-            self._failing = True
+        self._failures += 1
+        if self._failures == 1:
             _LOG.warning(
                 'follower: store lost',
                 extra={
@@ -150,3 +155,12 @@
 def has_changes(fact):
     """Say whether a message tells changes of targets."""
     return isinstance(fact, TargetsChanged) and bool(fact.changes)
+
+
+def compute_pause(failures, rng):
+    """Return the pause before the next call, seconds.
+
+    :param failures: failed calls in a row, at least 1.
+    """
+    longest = min(RETRY_S * 2 ** (failures - 1), LONGEST_RETRY_S)
+    return longest * (0.5 + rng.random())
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -79,3 +79,11 @@
     When 5 instances learn the key at once
     And another instance learns the key
     Then the other one has made 1 call, and allowed it to be stale
+
+  Scenario: A store that turns an instance away is not pressed
+    For seconds the store answers this instance with 429 or 503.  Refused
+    calls are paid for too, and a retry three times a second of every
+    refused instance would slow the store for the others.
+    Given a follower of a source that always fails
+    When it has failed 6 times
+    Then its pauses grow to 1 s with half of it either way, and no further
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -22,7 +22,12 @@
 from cornelgap.kernel.service import Service
 from cornelgap.platform.keys import learn_key
 from cornelgap.platform.sources import StoreSource
-from cornelgap.platform.store import CALL_S, HistoryGone, StoreClient
+from cornelgap.platform.store import (
+    CALL_S,
+    HistoryGone,
+    StoreClient,
+    StoreError,
+)
 from standins.object_store import ObjectStore, start_store
 
 WAIT_S = 0.2
@@ -316,3 +321,47 @@
 def check_stale(context, count):
     assert context.asked == [True] * count
     assert context.client.calls == count
+
+
+class FailingSource:
+    """A source whose calls bring no answer."""
+
+    def list_facts(self):
+        raise StoreError('status 429', answered=True)
+
+    def close(self):
+        """Nothing is open."""
+
+
+@given('a follower of a source that always fails')
+def start_failing(context):
+    context.pauses = []
+    context.enough = threading.Event()
+    context.blocked = threading.Event()
+    context.cleanups.append(context.blocked.set)
+
+    def pause(seconds):
+        context.pauses.append(seconds)
+        if len(context.pauses) == 6:
+            context.enough.set()
+            context.blocked.wait()
+
+    follower = Follower.start(
+        'store-test', FailingSource(), 'nobody', 1, random.Random(1), pause
+    )
+    context.cleanups.append(lambda: follower.stop(block=False))
+    follower.tell(Follow(True))
+
+
+@when('it has failed {count:d} times')
+def wait_for_failures(context, count):
+    assert context.enough.wait(WAIT_LONG_S)
+    assert len(context.pauses) == count
+
+
+@then('its pauses grow to 1 s with half of it either way, and no further')
+def check_growth(context):
+    expected = [0.3, 0.6, 1, 1, 1, 1]
+    for pause, middle in zip(context.pauses, expected, strict=True):
+        assert middle / 2 <= pause <= middle * 1.5, context.pauses
+    assert max(context.pauses) > 0.5
