Learn from a seed when the store is silent at the start

Cause: an instance that starts during an outage of the store got neither routes and targets nor the key under which instances talk, and dropped all packets until the store was back. Ruled out: a key made of settings (anybody can know those); beats without a key (a stranger would be believed).

The process scenario of an outage now asks that the restarted instance serves, and was seen red without the fetch.

--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -49,6 +49,10 @@
 """Seconds between two lists of a zone's instances; they are forgotten only
 after four."""
 
+LONE_S = 0.5
+"""Time after the start in which the store has normally given routes, targets
+and the key; it answers within 4 ms, a slow one in 0.25 s."""
+
 EVIDENCE_PER_S = 20
 """Beats a second about targets that do not answer, at most.  When links
 lose packets every flow repeats, and reports of it would fill them too."""
@@ -114,6 +118,7 @@
         self._load_at = float('-inf')
         self._members_at = float('-inf')
         self._turn_at = read_clock()
+        self._began_at = self._turn_at
         self._evidence = Pacer(EVIDENCE_PER_S, EVIDENCE_PER_S)
         self._loads = {}
         self._reported = {}
@@ -298,6 +303,7 @@
         if self._changes_at is not None and now >= self._changes_at:
             self._tell(changed=True)
         self._decide_following(now)
+        self._learn_from_seeds(now)
         host = neighbours.choose_hello(now)
         if host is not None:
             self._send_beat([host], self._own.zone, hello=True)
@@ -305,6 +311,20 @@
             self._beat_at = now
             self._send_regular(now)
 
+    def _learn_from_seeds(self, now):
+        """Fetch what a seed knows while the store has not given the key.
+
+        An instance that starts during an outage of the store would drop all
+        packets until the store is back, in a zone that may have no other.
+        Without the key it cannot tell a stranger from an instance, so it
+        asks only addresses of its settings, which also name the store.
+        """
+        if self._beats.key is not None or now - self._began_at < LONE_S:
+            return
+        host = self._neighbours.choose_seed(now)
+        if host is not None:
+            tell_service(self.scope, FETCHER, Fetch(host, None))
+
     def _send_regular(self, now):
         neighbours = self._neighbours
         own_zone = self._own.zone
--- a/cornelgap/forwarding/fetcher.py
+++ b/cornelgap/forwarding/fetcher.py
@@ -26,10 +26,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Fetch:
-    """Message: fetch all facts from a host."""
+    """Message: fetch all facts from a host.
+
+    :param key: None if this instance has not learnt it yet.
+    """
 
     host: str
-    key: bytes
+    key: bytes | None
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -31,6 +31,10 @@
 SETTLE_S = 3.0
 """Time after the start in which questions come that often."""
 
+SEED_S = 1.0
+"""Seconds between two snapshots that are fetched from a seed while the key is
+unknown; as often as a follower hears the store."""
+
 REPAIR_S = 5.0
 """Seconds between two questions otherwise; they join groups of instances
 that have not heard of each other."""
@@ -101,6 +105,7 @@
         self._suspects = set()
         self._began_at = None
         self._hello_at = float('-inf')
+        self._seed_at = float('-inf')
         self._far_at = float('-inf')
 
     def note_beat(self, beat, now):
@@ -213,6 +218,17 @@
         self._hello_at = now
         return self._rng.choice(hosts)
 
+    def choose_seed(self, now):
+        """Return the next seed to learn from without a key, if one is due.
+
+        :returns: a host, or None.
+        """
+        if not self._seeds or now - self._seed_at < SEED_S:
+            return None
+        self._seed_at = now
+        self._seeds.append(self._seeds.pop(0))
+        return self._seeds[-1]
+
     def list_members(self, now, zone):
         """Return [name, zone, host, capacity] of those to tell a zone of."""
         told = [[self.name, self.zone, self.host, self.capacity]]
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -127,13 +127,16 @@
 def unseal(raw, key):
     """Check and remove what :func:`seal` has put in front.
 
+    :param key: None to check the version only, for bytes that came over a
+        connection to an address which the settings name.
     :raises CodedError: ``PKT-002`` or ``NET-002``.
     """
     if not raw or raw[0] != VERSION:
         raise CodedError(Code.PKT_VERSION, 'another version', 'peer')
     body = raw[1 + TAG_BYTES :]
     tag = raw[1 : 1 + TAG_BYTES]
-    check_tag(tag, _compute_tag(raw[:1] + body, key))
+    if key is not None:
+        check_tag(tag, _compute_tag(raw[:1] + body, key))
     return body
 
 
@@ -216,6 +219,7 @@
 def unpack_snapshot(raw, now, key):
     """Read what :func:`pack_snapshot` has written.
 
+    :param key: as for :func:`unseal`.
     :raises CodedError: as :func:`decode_beat` does.
     """
     unpacker = zlib.decompressobj()
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -43,6 +43,7 @@
     When 40 flows are opened and each makes 1 request
     And the store falls silent and an instance is killed and started again
     Then the flows go on through all instances
+    And the restarted instance serves again without the store
     And within 10 s of the store's return a new route is in force everywhere
 
   Scenario: A crashed target's callers are told at once
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -307,6 +307,14 @@
     check_all_well(context)
 
 
+@then('the restarted instance serves again without the store')
+def check_restarted(context):
+    address = (context.hosts['n1'], context.ports['ready'])
+    wait_for(lambda: ask_ready(address), WAIT_S, 'the instance is ready')
+    run_flows(context, 20, 1)
+    check_all_well(context)
+
+
 @then("within 10 s of the store's return a new route is in force everywhere")
 def check_return(context):
     PLACES['later'] = (ROUTE, 8443)
