Serve open flows before the configuration, and judge no backlog

Half a second went by while 93 instances read a configuration of 1,500 routes (300 KB) over links of 10 Mbit/s. Then the backlog was read at once: copies of a SYN a millisecond after it, repeats after their requests; that looked as if no target answered, 173 verdicts gave up targets, 330 flows of live targets were reset and 524 openings moved on. Ruled out: the store's rate (6,000 reads a second), the time to load the program (0.43 s, unchanged).

Change: targets are listed and told first; packets of open flows need nothing else, openings are held until the routes are known. A repeat speaks against a target only 0.15 s or more after the packet before it was passed on from here, and an early copy of a SYN goes to the same target.

The story of a slow target repeated every 0.1 s, faster than any caller does (0.2 s); it repeats every 0.2 s now and is still red without its guard.

--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -60,6 +60,8 @@
     """A consistent picture of the directory.
 
     :param routes: route by (address, port).
+    :param routes_known: whether the configuration has been learnt; without
+        it, nothing can be said of a new flow.
     :param dropped: places (address, port) of routes that were in force
         earlier in this process and are not now.
     :param by_cookie: target by cookie; None where two targets share it.
@@ -70,6 +72,7 @@
     """
 
     routes: dict = field(default_factory=dict)
+    routes_known: bool = True
     dropped: frozenset = frozenset()
     by_cookie: dict = field(default_factory=dict)
     gone: dict = field(default_factory=dict)
@@ -253,6 +256,7 @@
                 by_service.setdefault(target.service, []).append(target)
         return View(
             routes=self._routes,
+            routes_known=self.routes_as_of is not None,
             dropped=frozenset(self._dropped),
             by_cookie=by_cookie,
             gone=gone,
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -282,8 +282,9 @@
             self._send_beat(hosts, self._own.zone, changes=dumped, since=since)
 
     def _tell(self, changed):
+        """Tell the packet actor; targets alone will do for open flows."""
         directory = self._directory
-        if not directory.complete:
+        if directory.targets_as_of is None:
             return
         now = self._turn_at
         view = None
@@ -292,7 +293,7 @@
             self._changes_at = directory.next_change(now)
         as_of = now - directory.compute_age(now)
         tell_service(self.scope, FORWARDING, AdoptView(view, as_of))
-        if not self._complete:
+        if directory.complete and not self._complete:
             self._complete = True
             self._on_complete()
 
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -7,14 +7,14 @@
 """
 
 from cornelgap.decisions.averages import Average
-from cornelgap.decisions.flow_health import FlowHealth, select_pool
+from cornelgap.decisions.flow_health import select_pool
 from cornelgap.decisions.target_choice import Candidate, choose_target
-from cornelgap.decisions.zone_reach import ZoneReach
 from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding.buckets import Buckets
 from cornelgap.forwarding.directory import View
 from cornelgap.forwarding.flows import FlowTable
 from cornelgap.forwarding.packets import Drop, Forward, Reason, Reset
+from cornelgap.forwarding.target_judge import TargetJudge
 
 FRESH_S = 3.0
 """Age of the directory up to which an unknown route is taken to be none.
@@ -31,11 +31,10 @@
 """The same in pauses between two reports: a flow waits half a pause for its
 instance's report and half a pause for the hub's, twice that at most."""
 
-OWN = ''
-"""Stands for this instance among those whose flows speak against a target."""
-
-WITNESSED = 3
-"""Instances of a zone from which on two must see a target silent."""
+REPEAT_S = 0.15
+"""Time since the first packet was passed on before its repeat says anything.
+Callers repeat after 0.2 s; packets that have waited in our own socket are
+read with their repeats at once, and would speak against every target."""
 
 OPEN_SHARE = 0.3
 """Weight of the last second in the rate of new flows."""
@@ -64,19 +63,16 @@
         self._others = {}
         self._instances = 1
         self._news_s = NEWS_S
-        self._evidence = []
-        self._silent = set()
         self._opens = Average(OPEN_SHARE)
         self._opens_second = 0
         self._opens_count = 0
-        self.health = FlowHealth()
-        self.reach = ZoneReach()
+        self.judge = TargetJudge()
         self.answers = Buckets()
 
     def adopt_view(self, view):
         """Use another picture of the directory from the next packet on."""
         self.view = view
-        self.health.keep(view.by_cookie.keys())
+        self.judge.keep(view.by_cookie.keys())
         self.flows.keep_loads(view.by_cookie.keys())
 
     def note_fresh(self, as_of):
@@ -91,13 +87,7 @@
         Callers that wait for a target which has just fallen silent would
         otherwise learn it only with their next repeat, after up to 0.8 s.
         """
-        silent = {
-            cookie
-            for cookie in self.flows.loads
-            if self.health.is_silent(cookie, now)
-        }
-        fresh = silent - self._silent
-        self._silent = silent
+        fresh = self.judge.find_fresh_silent(self.flows.loads, now)
         if not fresh:
             return []
         return [
@@ -107,7 +97,7 @@
 
     def name_silent(self):
         """Return the names of targets that were given up last, in order."""
-        found = map(self.view.by_cookie.get, self._silent)
+        found = map(self.view.by_cookie.get, self.judge.silent)
         return sorted(target.name for target in found if target is not None)
 
     def read_age(self, now):
@@ -124,13 +114,7 @@
         self._others = loads
         self._instances = instances
         self._news_s = pause_s * NEWS_PAUSES
-        self.health.witnesses = 2 if instances >= WITNESSED else 1
-        self.reach.witnesses = self.health.witnesses
-
-    def take_evidence(self):
-        """Return [cookie, flow number, whether again] of repeats since the last call."""
-        found, self._evidence = self._evidence, []
-        return found
+        self.judge.set_instances(instances)
 
     def note_evidence(self, instance, repeats, answers, now):
         """Note what flows through another instance say of targets.
@@ -139,15 +123,9 @@
         :param answers: cookies of targets that have answered there.
         :returns: cookies that have repeats there and answers here.
         """
-        for cookie in answers:
-            self._judge_answer(cookie, now)
-        alive = []
-        for cookie, flow, again in repeats:
-            if self.health.has_answered(cookie, now):
-                alive.append(cookie)
-            else:
-                self._judge_repeat(cookie, (instance, flow), bool(again), now)
-        return alive
+        return self.judge.note_evidence(
+            self.view.by_cookie, instance, repeats, answers, now
+        )
 
     def distrust(self, now):
         """Place no flow until the directory is confirmed after this time.
@@ -156,8 +134,7 @@
         begun to drain, a route may be dropped.  Open flows go on.
         """
         self._distrusted_at = now
-        self.health.clear()
-        self.reach.clear()
+        self.judge.clear()
 
     def handle(self, packet, now, late=False):
         """Decide on one packet.
@@ -171,6 +148,8 @@
             return Drop(Reason.FROM_TARGET)
         if late or self._is_distrusted(now):
             return Drop(Reason.STALE_OPEN)
+        if not self.view.routes_known:
+            return Drop(Reason.ROUTES_UNKNOWN)
         return self._open_flow(packet, now)
 
     def expire(self, now):
@@ -189,6 +168,10 @@
                 return Drop(Reason.NOT_FRESH)
             return Reset(packet.ack, Reason.NO_ROUTE)
         known = self.flows.find(packet.flow)
+        if is_early_copy(packet, known, now):
+            target = self.view.by_cookie.get(known.cookie)
+            if target is not None:
+                return Forward(target, Reason.PLACED)
         tried = self._note_copy(packet, known, now)
         target = self._place(route, packet, tried, now)
         if target is None:
@@ -207,7 +190,7 @@
 
     def _place(self, route, packet, tried, now):
         services = order_services(route, packet)
-        avoided = self._choose_avoided_zones(now)
+        avoided = self.judge.choose_avoided_zones(now)
         pools = (
             self._list_trusted(service, avoided, now) for service in services
         )
@@ -235,14 +218,7 @@
             target
             for target in self._list_targets(service)
             if target.zone not in avoided
-            and not self.health.is_avoided(target.cookie, now)
-        ]
-
-    def _choose_avoided_zones(self, now):
-        return [
-            zone
-            for zone in self.reach.list_away()
-            if not self.reach.take_probe(zone, now)
+            and not self.judge.is_avoided(target.cookie, now)
         ]
 
     def _estimate_poured(self, now):
@@ -282,17 +258,12 @@
         if target is None:
             return self._refuse(packet, cookie, known, now)
         self._note_packet(packet, cookie, known, now)
-        if self._is_given_up(cookie, now):
+        if self.judge.is_given_up(cookie, now):
             # Waiting would cost the caller its whole deadline; after a
             # reset it opens a flow on a target that answers.
             return Reset(packet.ack, Reason.TARGET_SILENT)
         return Forward(target, Reason.KNOWN)
 
-    def _is_given_up(self, cookie, now):
-        if not self.health.is_silent(cookie, now):
-            return False
-        return not self.health.take_probe(cookie, now)
-
     def _refuse(self, packet, cookie, known, now):
         if cookie in self.view.by_cookie:
             return Drop(Reason.AMBIGUOUS_COOKIE)
@@ -310,23 +281,8 @@
         return Reset(packet.ack, Reason.TARGET_GONE)
 
     def _note_repeat(self, cookie, packet, again, now):
-        flow = (OWN, packet.flow)
-        if self._judge_repeat(cookie, flow, again, now):
-            self._evidence.append([cookie, packet.source_port, int(again)])
-
-    def _judge_repeat(self, cookie, flow, again, now):
         target = self.view.by_cookie.get(cookie)
-        zone = None if target is None else target.zone
-        if again and zone is not None:
-            self.reach.note_repeat(zone, cookie, flow[0], now)
-        zone_away = self.reach.is_away(zone)
-        return self.health.note_repeat(cookie, flow, now, again, zone_away)
-
-    def _judge_answer(self, cookie, answered_at):
-        self.health.note_answer(cookie, answered_at)
-        target = self.view.by_cookie.get(cookie)
-        if target is not None:
-            self.reach.note_answer(target.zone, answered_at)
+        self.judge.note_repeat(cookie, target, packet, again, now)
 
     def _note_answer(self, cookie, packet, known, now):
         # A packet without data is sent at the moment when an answer came.
@@ -335,7 +291,8 @@
         answered_at = known.waiting_since if packet.size else now
         if known.waiting_since and not packet.size:
             self.answers.add(now - known.waiting_since)
-        self._judge_answer(cookie, answered_at)
+        target = self.view.by_cookie.get(cookie)
+        self.judge.note_answer(cookie, target, answered_at)
 
     def _note_packet(self, packet, cookie, known, now):
         # The first packet that is seen of a flow says nothing: whatever it
@@ -343,7 +300,7 @@
         if known is not None:
             if known.acked != packet.ack or not known.pinned:
                 self._note_answer(cookie, packet, known, now)
-            elif packet.size and known.sent == packet.seq + packet.size:
+            elif is_repeat(packet, known, now):
                 known.repeats += 1
                 self._note_repeat(cookie, packet, known.repeats > 1, now)
         closing = bool(packet.flags & (pkt.FIN | pkt.RST))
@@ -359,6 +316,29 @@
     return bool(packet.flags & (pkt.ACK | pkt.RST | pkt.FIN))
 
 
+def is_early_copy(packet, known, now):
+    """Say whether a copy of a SYN was read just after the one before it.
+
+    Both have waited in our own socket.  The target has had no time to
+    answer; another one would answer as well, and the flow be open on two.
+
+    :param known: the flow as seen here, or None.
+    """
+    if known is None or known.pinned or not packet.ack:
+        return False
+    return now - known.seen_at < REPEAT_S
+
+
+def is_repeat(packet, known, now):
+    """Say whether a caller repeats its last data, as nothing came back.
+
+    :param known: the flow as seen here.
+    """
+    if not packet.size or known.sent != packet.seq + packet.size:
+        return False
+    return now - known.sent_at >= REPEAT_S
+
+
 def choose_cookie(packet, known):
     """Return the cookie of the target that holds a packet's flow.
 
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -27,6 +27,7 @@
     :param tried: cookies of targets that its SYNs were sent to before.
     :param pinned: whether the caller has acknowledged a target's SYN+ACK.
     :param sent: next sequence number after the caller's data.
+    :param sent_at: when data were passed on last.
     :param acked: the caller's last acknowledgement.
     :param repeats: times that the last data were repeated.
     :param waiting_since: when the unanswered request was sent; 0 if none.
@@ -38,6 +39,7 @@
     tried: tuple = ()
     pinned: bool = False
     sent: int = 0
+    sent_at: float = 0
     acked: int = 0
     repeats: int = 0
     waiting_since: float = 0
@@ -166,6 +168,7 @@
             if flow.sent != packet.seq + packet.size:
                 flow.repeats = 0
             flow.sent = packet.seq + packet.size
+            flow.sent_at = now
             if not flow.waiting_since and not flow.closed:
                 flow.waiting_since = now
                 load.waiting += 1
--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -56,7 +56,7 @@
     """Follows one source.
 
     :param source: offers ``list_facts()`` and ``watch_facts(wait_s)``, both
-        giving messages for the directory, and ``close()``.
+        giving messages for the directory one by one, and ``close()``.
     :param receiver: name of the service that is told.
     :param wait_s: longest wait for a change.  An answered wait is the only
         proof that the connection still hears the store.
@@ -122,13 +122,13 @@
             found = self._watch()
         else:
             found = self._source.list_facts()
+        for fact in found:
+            tell_service(self.scope, self._receiver, fact)
         self._listed = True
         self._wanted = False
         if self._failures:
             self._failures = 0
             _LOG.info('follower: store is back')
-        for fact in found:
-            tell_service(self.scope, self._receiver, fact)
 
     def _watch(self):
         wait_s = self._wait_s
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -28,6 +28,10 @@
 PLACED_SAMPLE = 50
 """One of so many ordinary openings gets a line; all others are counted."""
 
+MAX_HELD = 1024
+"""Openings kept until the configuration is known.  The busiest instance of a
+grown site gets ten a second; more are dropped, and their callers repeat."""
+
 _TEXTS = {
     Forward: 'forwarding: flow placed',
     Reset: 'forwarding: flow reset',
@@ -133,6 +137,7 @@
         self._receiver = receiver
         self._sock = sock
         self._reading = False
+        self._held = []
         self._began_at = read_clock()
         self._turn_at = self._began_at
         self._packet_at = self._turn_at
@@ -179,6 +184,17 @@
         self._engine.note_fresh(message.as_of)
         if not self._reading:
             self._begin_reading()
+        if self._held and self._engine.view.routes_known:
+            self._release_held()
+
+    def _release_held(self):
+        """Handle the openings that came before the configuration."""
+        held, self._held = self._held, []
+        if self._turn_at - self._began_at > HELD_S:
+            self.counts[Reason.ROUTES_UNKNOWN] += len(held)
+            return
+        for packet in held:
+            self._carry_out(packet)
 
     def _begin_reading(self):
         """Read packets from now on, those that have waited first.
@@ -198,7 +214,7 @@
 
     def _read(self, _message):
         self._read_batch()
-        repeats = self._engine.take_evidence()
+        repeats = self._engine.judge.take_evidence()
         if repeats:
             self._tell(EvidenceSeen(repeats, []))
             self._give_up_silent()
@@ -230,7 +246,7 @@
                 extra={'silent': silent, 'before': self._silent},
             )
             self._silent = silent
-        away = self._engine.reach.list_away()
+        away = self._engine.judge.list_away()
         if away != self._away:
             _LOG.info(
                 'forwarding: zones away',
@@ -264,7 +280,14 @@
         except CodedError as exc:
             self.counts[str(exc.code)] += 1
             return
-        effect = self._engine.handle(packet, now, self._woken)
+        self._carry_out(packet)
+
+    def _carry_out(self, packet):
+        effect = self._engine.handle(packet, self._turn_at, self._woken)
+        if effect.reason is Reason.ROUTES_UNKNOWN:
+            if len(self._held) < MAX_HELD:
+                self._held.append(packet)
+                return
         self.counts[effect.reason] += 1
         if effect.reason is not Reason.KNOWN:
             self._log_effect(packet, effect)
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -56,6 +56,7 @@
     MOVED_ON = 'moved_on'
     KNOWN = 'known'
     NO_ROUTE = 'no_route'
+    ROUTES_UNKNOWN = 'routes_unknown'
     ROUTE_DROPPED = 'route_dropped'
     NO_TARGET = 'no_target'
     TARGET_SILENT = 'target_silent'
--- /dev/null
+++ b/cornelgap/forwarding/target_judge.py
@@ -0,0 +1,132 @@
+"""What flows, here and at other instances, say of targets and zones.
+
+Repeats speak against a target, acknowledgements for it.  The decisions are
+``flow_health`` for one target and ``zone_reach`` for all targets of a zone;
+here they are fed, and what is seen here is kept for the others to hear.
+"""
+
+from cornelgap.decisions.flow_health import FlowHealth
+from cornelgap.decisions.zone_reach import ZoneReach
+
+WITNESSED = 3
+"""Instances of a zone from which on two must see a target silent."""
+
+OWN = ''
+"""Stands for this instance among those whose flows speak against a target."""
+
+
+class TargetJudge:
+    """Judges targets by cookie and zones by name.
+
+    :ivar silent: cookies of the targets that were given up last.
+    """
+
+    def __init__(self):
+        """Trust everybody."""
+        self._health = FlowHealth()
+        self._reach = ZoneReach()
+        self._evidence = []
+        self.silent = frozenset()
+
+    def set_instances(self, count):
+        """Note how many instances the zone has, this one included."""
+        self._health.witnesses = 2 if count >= WITNESSED else 1
+        self._reach.witnesses = self._health.witnesses
+
+    def keep(self, cookies):
+        """Forget all targets but these."""
+        self._health.keep(cookies)
+
+    def clear(self):
+        """Forget all that was noted, as after a standstill of our own."""
+        self._health.clear()
+        self._reach.clear()
+
+    def note_repeat(self, cookie, target, packet, again, now):
+        """Note that a caller repeated a packet that had passed here.
+
+        :param target: the target of the cookie, None if it is not known.
+        :param again: whether it had repeated the same before.
+        """
+        flow = (OWN, packet.flow)
+        if self._judge_repeat(cookie, target, flow, again, now):
+            self._evidence.append([cookie, packet.source_port, int(again)])
+
+    def note_answer(self, cookie, target, answered_at):
+        """Note since when a target is known to have answered."""
+        self._health.note_answer(cookie, answered_at)
+        if target is not None:
+            self._reach.note_answer(target.zone, answered_at)
+
+    def take_evidence(self):
+        """Return what was seen here since the last call.
+
+        :returns: lists [cookie, flow number, whether again] of repeats.
+        """
+        found, self._evidence = self._evidence, []
+        return found
+
+    def note_evidence(self, by_cookie, instance, repeats, answers, now):
+        """Note what flows through another instance say of targets.
+
+        :param by_cookie: target by cookie.
+        :param repeats: lists [cookie, flow number, whether again].
+        :param answers: cookies of targets that have answered there.
+        :returns: cookies that have repeats there and answers here.
+        """
+        for cookie in answers:
+            self.note_answer(cookie, by_cookie.get(cookie), now)
+        alive = []
+        for cookie, number, again in repeats:
+            if self._health.has_answered(cookie, now):
+                alive.append(cookie)
+                continue
+            flow = (instance, number)
+            target = by_cookie.get(cookie)
+            self._judge_repeat(cookie, target, flow, bool(again), now)
+        return alive
+
+    def choose_avoided_zones(self, now):
+        """Return the zones that get no new flow now.
+
+        One that is away is left out of these now and then, as a probe.
+        """
+        return [
+            zone
+            for zone in self._reach.list_away()
+            if not self._reach.take_probe(zone, now)
+        ]
+
+    def list_away(self):
+        """Return the names of zones that are away, in order."""
+        return self._reach.list_away()
+
+    def is_avoided(self, cookie, now):
+        """Say whether a target should get no new flow now."""
+        return self._health.is_avoided(cookie, now)
+
+    def is_given_up(self, cookie, now):
+        """Say whether a flow's packet must not go to its target.
+
+        One packet now and then may, so that an answer can show that the
+        target is back.
+        """
+        if not self._health.is_silent(cookie, now):
+            return False
+        return not self._health.take_probe(cookie, now)
+
+    def find_fresh_silent(self, cookies, now):
+        """Return those of some targets that have fallen silent just now."""
+        silent = frozenset(
+            cookie for cookie in cookies if self._health.is_silent(cookie, now)
+        )
+        fresh = silent - self.silent
+        self.silent = silent
+        return fresh
+
+    def _judge_repeat(self, cookie, target, flow, again, now):
+        zone = None if target is None else target.zone
+        if again and zone is not None:
+            self._reach.note_repeat(zone, cookie, flow[0], now)
+        zone_away = self._reach.is_away(zone)
+        return self._health.note_repeat(cookie, flow, now, again, zone_away)
--- a/cornelgap/operators/explanation.py
+++ b/cornelgap/operators/explanation.py
@@ -33,6 +33,8 @@
     'moved_on': 'the target before had not answered, so this copy of the '
     'opening went to another one',
     'no_route': 'the configuration has no route to this address and port',
+    'routes_unknown': 'the instance had just started, and the configuration '
+    'did not come in time',
     'route_dropped': "the configuration no longer has the flow's route",
     'no_target': 'no target of the service is registered and not draining',
     'target_silent': 'the target had answered nobody, so its callers were '
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -39,7 +39,12 @@
     def list_facts(self):
         """List all objects.
 
-        :returns: messages for the directory.
+        Targets come first: packets of open flows need nothing else, and on
+        the slowest links a configuration of 1,500 routes takes half a
+        second.
+
+        :returns: iterator of messages for the directory, each as soon as it
+            is known.
         :raises StoreError: if a call brought no answer.
         """
         sent = read_clock()
@@ -51,8 +56,8 @@
             if target is not None:
                 revision = item['meta']['revision']
                 targets[target.name] = (target, revision)
-        listed = TargetsListed(targets, listing.revision, sent)
-        return [self._read_routes(), listed]
+        yield TargetsListed(targets, listing.revision, sent)
+        yield self._read_routes()
 
     def watch_facts(self, wait_s):
         """Wait for changes.
--- a/features/forwarding_start.feature
+++ b/features/forwarding_start.feature
@@ -11,6 +11,15 @@
     When an opening arrives and the directory becomes known
     Then the target gets the opening
 
+  Scenario: Open flows need no configuration
+    On a slow link a large configuration takes half a second.  Feeds that
+    are open need the targets only; new flows wait for the routes.
+    Given a packet task without routes and targets
+    When an opening and a request arrive and only the targets become known
+    Then the target gets the request alone
+    When the routes become known too
+    Then the target gets the opening
+
   Scenario: Packets that have waited too long are dropped
     The store was away for seconds.  Callers have given up by then; their
     openings would only occupy targets.
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -4,6 +4,7 @@
     Given a store with 25 targets that lists 10 objects a page
     When a source lists it
     Then it has 25 targets and the configuration
+    And it has told the targets first
 
   Scenario: A change of targets is heard without reading the configuration
     Each call costs.  The store's revision counts every change, and this one
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -173,3 +173,11 @@
     When the proof story "split in reach" is played
     Then the proof checkers have no objection
     But they object once the guard "split-reach" is taken out
+
+  Scenario: An instance reads a backlog after its start
+    While it was loaded, openings and their copies, requests and their
+    repeats have gathered in its socket.  Read within a millisecond, they
+    look as if no target answered anybody, and every feed would be reset.
+    When the proof story "backlog" is played
+    Then the proof checkers have no objection
+    But they object once the guard "backlog" is taken out
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -140,6 +140,10 @@
     patches.set_attr(zone_reach, 'SILENT_TARGETS', 1)
 
 
+def count_backlog(patches):
+    patches.set_attr(engine, 'REPEAT_S', 0)
+
+
 def keep_to_service(patches):
     def order_services(route, packet):
         names = [service for service, _ in route.shares]
@@ -271,6 +275,12 @@
         'one silent target says nothing of its zone',
         believe_one_target,
     ),
+    (
+        'backlog',
+        10,
+        'a repeat that was read with its first packet says nothing',
+        count_backlog,
+    ),
     (
         'split-reach',
         1,
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -201,7 +201,7 @@
         desk.send(caller, SEARCH[0], ack=1, size=100)
     found = []
     for number, caller in enumerate(callers):
-        desk.pass_time(0.1)
+        desk.pass_time(0.2)
         # The oldest gets its answer; all others repeat.
         desk.send(caller, SEARCH[0], ack=700)
         for other in list(callers)[number + 1 :]:
@@ -427,3 +427,27 @@
     if any(target.service == 'archive' for target in opened):
         return ['flows wait for a service that is out of reach']
     return []
+
+
+def play_backlog():
+    """Packets have waited in our own socket, and are read at once."""
+    targets = [make_target(number) for number in range(1, 5)]
+    desk = start_desk(*targets)
+    found = []
+    for caller in range(40001, 40011):
+        first = desk.open(caller)
+        if any(desk.open(caller, copy=copy) != first for copy in (1, 2)):
+            found.append('a flow was opened on two targets')
+    flows = {}
+    for caller in range(50001, 50011):
+        flows[caller] = targets[caller % 4]
+        desk.send(caller, flows[caller], ack=1)
+    desk.pass_time(1)
+    for _ in range(3):
+        for caller, target in flows.items():
+            desk.send(caller, target, ack=1, size=100)
+    desk.pass_time(0.05)
+    for caller, target in flows.items():
+        if got_reset(desk.send(caller, target, ack=1, size=100)):
+            found.append('a flow of a live target was reset')
+    return found[:1]
--- a/features/steps/forwarding_start_steps.py
+++ b/features/steps/forwarding_start_steps.py
@@ -25,7 +25,7 @@
     make_route,
     make_target,
 )
-from standins.packet_ends import SYN, make_raw
+from standins.packet_ends import ACK, SYN, make_raw
 
 WAIT_S = 15
 SCOPE = 'starting'
@@ -64,23 +64,47 @@
     return counts
 
 
-def make_view(context):
+def make_view(context, *routes):
     desk = Desk()
-    desk.set_routes(make_route('search'))
+    if routes:
+        desk.set_routes(*routes)
     address = context.target.getsockname()
     desk.set_targets(make_target(1, address=address))
     return desk.directory.make_view(desk.now)
 
 
+def tell_view(context, *routes):
+    now = packet_actor.read_clock()
+    context.actor.tell(AdoptView(make_view(context, *routes), now))
+
+
 @when('an opening arrives and the directory becomes known')
 def adopt_view(context):
     send_opening(context, 40001)
     # An answer shows that the task has had its chance to read.
     for _ in range(3):
         read_counts(context)
-    view = make_view(context)
-    now = packet_actor.read_clock()
-    context.actor.tell(AdoptView(view, now))
+    tell_view(context, make_route('search'))
+
+
+@when('an opening and a request arrive and only the targets become known')
+def adopt_targets(context):
+    send_opening(context, 40001)
+    cookie = make_target(1).cookie
+    raw = make_raw((CALLER, 40002), PLACE, ACK, cookie, 1000, 1, b'hold')
+    context.target.sendto(raw, context.address)
+    tell_view(context)
+
+
+@then('the target gets the request alone')
+def check_request(context):
+    assert context.target.recv(2048).endswith(b'hold')
+    assert read_counts(context) == {Reason.KNOWN: 1}
+
+
+@when('the routes become known too')
+def adopt_routes(context):
+    tell_view(context, make_route('search'))
 
 
 @then('the target gets the opening')
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -77,7 +77,7 @@
 
 @when('a source lists it')
 def list_all(context):
-    context.facts = context.source.list_facts()
+    context.facts = list(context.source.list_facts())
     context.calls = context.client.calls
 
 
@@ -365,3 +365,8 @@
     for pause, middle in zip(context.pauses, expected, strict=True):
         assert middle / 2 <= pause <= middle * 1.5, context.pauses
     assert max(context.pauses) > 0.5
+
+
+@then('it has told the targets first')
+def check_order(context):
+    assert isinstance(context.facts[0], TargetsListed)
