--- a/cornelgap/decisions/zone_reach.py
+++ b/cornelgap/decisions/zone_reach.py
@@ -81,19 +81,17 @@
     def note_answer(self, zone, answered_at):
         """Note when a target of a zone has answered.
 
-        :returns: whether the zone was taken to be away until now.
+        :param answered_at: time of the answer; the past where a caller told
+            of it late, so that later repeats still count.
         """
         record = self._zones.setdefault(zone, _Zone())
         if answered_at <= record.answered_at:
-            return False
+            return
         record.answered_at = answered_at
         newest = max(record.repeats.values(), default=float('-inf'))
-        if newest > answered_at:
-            return False
-        record.repeats.clear()
-        was_away = record.away
-        record.away = False
-        return was_away
+        if newest <= answered_at:
+            record.repeats.clear()
+            record.away = False
 
     def is_away(self, zone):
         """Say whether no target of a zone answers."""
