Give nobody up while an instance is young, nor for its zone's sake

Change: a zone that is away gets no new flow and has no other effect; and nobody is given up in the first 1.5 s after the first packet or a standstill. Both only take resets away. The stories of zones show what is left: flows opened behind the cut, and a zone in reach that gets none; the new story resets flows of live targets without its guard.

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -80,13 +80,11 @@
         self._records = {}
         self.witnesses = 1
 
-    def note_repeat(self, key, flow, now, again=False, zone_away=False):
+    def note_repeat(self, key, flow, now, again=False):
         """Note that a caller repeated what it had sent to a target.
 
         :param flow: tuple (instance, name of the caller's flow).
         :param again: whether it had repeated the same before.
-        :param zone_away: whether no other target of its zone answers; one
-            repeat proves enough then.
         :returns: whether it speaks against the target.
         """
         record = self._records.setdefault(key, _Record())
@@ -104,7 +102,7 @@
         instances = {name for name, _ in record.repeats}
         if len(instances) < self.witnesses:
             enough = False
-        if (enough or zone_away) and now - record.answered_at >= SILENT_S:
+        if enough and now - record.answered_at >= SILENT_S:
             if now >= record.silent_until:
                 record.probe_at = now + PROBE_S
             record.silent_until = now + SILENT_HOLD_S
--- a/cornelgap/decisions/zone_reach.py
+++ b/cornelgap/decisions/zone_reach.py
@@ -7,9 +7,8 @@
 and new flows go on opening behind the cut.  Two targets that answer nobody,
 while no other target of the zone answers either, say the same at once.
 
-The verdict does not give up a target by itself: two of a zone's targets may
-have crashed while the third had nothing to do.  It keeps new flows away, and
-makes the first repeat of a flow count as proof against its target.
+The verdict keeps new flows away and resets nothing: two of a zone's targets
+may have crashed while the third had nothing to do.
 """
 
 from dataclasses import dataclass, field
@@ -93,11 +92,6 @@
             record.repeats.clear()
             record.away = False
 
-    def is_away(self, zone):
-        """Say whether no target of a zone answers."""
-        record = self._zones.get(zone)
-        return record is not None and record.away
-
     def take_probe(self, zone, now):
         """Say whether a new flow may open in a zone that is away."""
         record = self._zones[zone]
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -142,6 +142,7 @@
         :param late: whether the packet may have lain in the socket for long.
         :returns: :class:`Forward`, :class:`Reset` or :class:`Drop`.
         """
+        self.judge.note_packet(now)
         if not packet.flags & pkt.SYN:
             return self._carry_on(packet, now)
         if is_from_target(packet):
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -11,6 +11,12 @@
 WITNESSED = 3
 """Instances of a zone from which on two must see a target silent."""
 
+YOUNG_S = 1.5
+"""Time after the first packet, or a standstill, in which nobody is given up.
+Long flows send about one request a second: an instance that has just started
+has seen no answers yet, and repeats of what was lost while it was down would
+speak against live targets."""
+
 OWN = ''
 """Stands for this instance among those whose flows speak against a target."""
 
@@ -26,6 +32,7 @@
         self._health = FlowHealth()
         self._reach = ZoneReach()
         self._evidence = []
+        self._began_at = None
         self.silent = frozenset()
 
     def set_instances(self, count):
@@ -41,6 +48,12 @@
         """Forget all that was noted, as after a standstill of our own."""
         self._health.clear()
         self._reach.clear()
+        self._began_at = None
+
+    def note_packet(self, now):
+        """Note that a packet has come; the first one counts as the start."""
+        if self._began_at is None:
+            self._began_at = now
 
     def note_repeat(self, cookie, target, packet, again, now):
         """Note that a caller repeated a packet that had passed here.
@@ -111,12 +124,14 @@
         One packet now and then may, so that an answer can show that the
         target is back.
         """
-        if not self._health.is_silent(cookie, now):
+        if self._is_young(now) or not self._health.is_silent(cookie, now):
             return False
         return not self._health.take_probe(cookie, now)
 
     def find_fresh_silent(self, cookies, now):
         """Return those of some targets that have fallen silent just now."""
+        if self._is_young(now):
+            return frozenset()
         silent = frozenset(
             cookie for cookie in cookies if self._health.is_silent(cookie, now)
         )
@@ -128,5 +143,7 @@
         zone = None if target is None else target.zone
         if again and zone is not None:
             self._reach.note_repeat(zone, cookie, flow[0], now)
-        zone_away = self._reach.is_away(zone)
-        return self._health.note_repeat(cookie, flow, now, again, zone_away)
+        return self._health.note_repeat(cookie, flow, now, again)
+
+    def _is_young(self, now):
+        return self._began_at is None or now - self._began_at < YOUNG_S
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -153,15 +153,15 @@
 
   Scenario: A zone is cut off, and its targets fall silent together
     Each of them holds a few flows of ours.  Judged one by one they take
-    seconds to be given up, in which an inventor's refinements wait for
-    their whole deadline and new feeds open behind the cut.
+    seconds to be known as silent, and feeds go on being opened behind the
+    cut, where nobody answers.
     When the proof story "zone away" is played
     Then the proof checkers have no objection
     But they object once the guard "zone-reach" is taken out
 
   Scenario: One crashed target does not speak for its zone
     The zone's other targets had nothing to do for a moment.  If the whole
-    zone were given up, the next late answer would end a feed that is well.
+    zone were left out, the callers' own zone would queue beside idle targets.
     When the proof story "zone with one dead target" is played
     Then the proof checkers have no objection
     But they object once the guard "zone-targets" is taken out
@@ -181,3 +181,11 @@
     When the proof story "backlog" is played
     Then the proof checkers have no objection
     But they object once the guard "backlog" is taken out
+
+  Scenario: An instance that has just started gives nobody up
+    It was killed and is back after a second.  It has seen no answer yet, and
+    callers repeat what was lost while it was down; on a day of the grown
+    site it reset an open feed of a live target that way.
+    When the proof story "young instance" is played
+    Then the proof checkers have no objection
+    But they object once the guard "young" is taken out
