Bound the doublings of a pause, in one place for all

Cause, found by reading the change again: the follower's pause is 0.3 s times two to the power of its failures in a row. After 1,024 failures that number no longer fits a float; the error comes in the handler of the last failure, so the actor crashes and the process ends. All instances would end in the same minutes of a long outage of the store.

Change: compute_backoff in decisions/backoff.py bounds the exponent; the follower, flow_health and polling.py, which had a bound of its own (8), call it. Pauses are the same otherwise. Two scenarios, 3,000 failed calls and 1,500 unanswered probes, were red with OverflowError before and are red when the bound is taken out.

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -15,6 +15,8 @@
 
 from dataclasses import dataclass, field
 
+from cornelgap.decisions.backoff import compute_backoff
+
 AVOID_FLOWS = 2
 """Flows that repeat without any answer in between before a target gets no
 new flow.  At 1% loss on each way two of them meet once in 2,500 flows."""
@@ -95,9 +97,10 @@
         record.repeated_at = now
         recent = _list_recent(record, now)
         if len(recent) >= AVOID_FLOWS and now >= record.avoided_until:
-            length = min(AVOID_S * 2**record.avoided, LONGEST_AVOID_S)
-            record.avoided_until = now + length
             record.avoided += 1
+            record.avoided_until = now + compute_backoff(
+                AVOID_S, record.avoided, LONGEST_AVOID_S
+            )
         enough = sum(recent) >= SILENT_WEIGHT and SECOND_WEIGHT in recent
         instances = {name for name, _ in record.repeats}
         if len(instances) < self.witnesses:
--- a/cornelgap/decisions/polling.py
+++ b/cornelgap/decisions/polling.py
@@ -8,6 +8,8 @@
 peer of which only the name is known causes an early reading instead.
 """
 
+from cornelgap.decisions.backoff import compute_backoff
+
 REGISTER_S = 2.0
 """Seconds between two registrations; they lapse after a few."""
 
@@ -74,9 +76,9 @@
         Instances that all lost the platform at once must not come back to
         it at once, or the outage ends in the next one.
         """
-        self._fails = min(self._fails + 1, 8)
-        wait = min(BACKOFF_MOST_S, self._least_s * 2**self._fails / 4)
-        self._end(now, wait)
+        self._fails += 1
+        first_s = self._least_s / 2
+        self._end(now, compute_backoff(first_s, self._fails, BACKOFF_MOST_S))
 
     def _end(self, now, wait):
         self._running = False
--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from cornelgap.core.errors import Code, CodedError
+from cornelgap.decisions.backoff import compute_backoff
 from cornelgap.forwarding.facts import TargetsChanged
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
@@ -162,5 +163,5 @@
 
     :param failures: failed calls in a row, at least 1.
     """
-    longest = min(RETRY_S * 2 ** (failures - 1), LONGEST_RETRY_S)
-    return longest * (0.5 + rng.random())
+    pause_s = compute_backoff(RETRY_S, failures, LONGEST_RETRY_S)
+    return pause_s * (0.5 + rng.random())
--- a/features/forwarding_properties.feature
+++ b/features/forwarding_properties.feature
@@ -47,3 +47,10 @@
     Given a beat with the loads of 4600 targets
     Then it fits into a datagram and survives encoding
     And bent copies of it are refused with a code or read as they were
+
+  Scenario: A registered target answers nobody for hours
+    It is cut off, and its registration stays.  Each probe that it does not
+    answer doubles the time without new flows up to a bound; a count that
+    overflows would end the packet task of every instance.
+    When 1500 probes of a target stay without an answer
+    Then it gets no new flow for 4 s after the last one
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -88,3 +88,11 @@
     Given a follower of a source that always fails
     When it has failed 6 times
     Then its pauses grow to 1 s with half of it either way, and no further
+
+  Scenario: The store is away for hours
+    Each failed call doubles the pause up to its bound.  A count of failures
+    that grows without end overflows the arithmetic after a thousand calls;
+    all instances would end in the same minute of a long outage.
+    Given a follower of a source that always fails
+    When it may go on until it has failed 3000 times
+    Then its pauses stay within 1.5 s and it still runs
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -5,12 +5,13 @@
 import tempfile
 from pathlib import Path
 
-from behave import given, then
+from behave import given, then, when
 from hypothesis import given as vary
 from hypothesis import settings
 from hypothesis import strategies as st
 
 from cornelgap.core.errors import CodedError
+from cornelgap.decisions.flow_health import FlowHealth
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.directory import Directory, Route
 from cornelgap.forwarding.packets import Drop, Forward, Reset
@@ -372,3 +373,20 @@
             except CodedError:
                 continue
             assert isinstance(beat, peers.Beat)
+
+
+@when('{count:d} probes of a target stay without an answer')
+def probe_in_vain(context, count):
+    context.health = FlowHealth()
+    context.now = 100.0
+    for number in range(count):
+        context.now += 5
+        for flow in ('first', 'second'):
+            name = ('n1', f'{flow} {number}')
+            context.health.note_repeat('target', name, context.now)
+
+
+@then('it gets no new flow for {seconds:d} s after the last one')
+def check_avoided(context, seconds):
+    assert context.health.is_avoided('target', context.now + seconds - 0.1)
+    assert not context.health.is_avoided('target', context.now + seconds + 0.1)
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -333,40 +333,72 @@
         """Nothing is open."""
 
 
-@given('a follower of a source that always fails')
-def start_failing(context):
-    context.pauses = []
-    context.enough = threading.Event()
-    context.blocked = threading.Event()
-    context.cleanups.append(context.blocked.set)
+class Failing:
+    """How often a follower has failed, and when it is to wait for us.
 
-    def pause(seconds):
-        context.pauses.append(seconds)
-        if len(context.pauses) == 6:
-            context.enough.set()
-            context.blocked.wait()
+    It outlives the scenario for a moment, so it is no part of the context.
+    """
+
+    def __init__(self):
+        self.pauses = []
+        self.limit = 6
+        self.enough = threading.Event()
+        self.go_on = threading.Event()
+
+    def pause(self, seconds):
+        self.pauses.append(seconds)
+        if len(self.pauses) >= self.limit:
+            self.enough.set()
+            self.go_on.wait()
 
+
+@given('a follower of a source that always fails')
+def start_failing(context):
+    failing = Failing()
+    context.failing = failing
+    context.cleanups.append(failing.go_on.set)
     follower = Follower.start(
-        'store-test', FailingSource(), 'nobody', 1, random.Random(1), pause
+        'store-test',
+        FailingSource(),
+        'nobody',
+        1,
+        random.Random(1),
+        failing.pause,
     )
+    context.follower = follower
     context.cleanups.append(lambda: follower.stop(block=False))
     follower.tell(Follow(True))
 
 
 @when('it has failed {count:d} times')
 def wait_for_failures(context, count):
-    assert context.enough.wait(WAIT_LONG_S)
-    assert len(context.pauses) == count
+    assert context.failing.enough.wait(WAIT_LONG_S)
+    assert len(context.failing.pauses) == count
 
 
 @then('its pauses grow to 1 s with half of it either way, and no further')
 def check_growth(context):
     expected = [0.3, 0.6, 1, 1, 1, 1]
-    for pause, middle in zip(context.pauses, expected, strict=True):
-        assert middle / 2 <= pause <= middle * 1.5, context.pauses
-    assert max(context.pauses) > 0.5
+    for pause, middle in zip(context.failing.pauses, expected, strict=True):
+        assert middle / 2 <= pause <= middle * 1.5, context.failing.pauses
+    assert max(context.failing.pauses) > 0.5
 
 
 @then('it has told the targets first')
 def check_order(context):
     assert isinstance(context.facts[0], TargetsListed)
+
+
+@when('it may go on until it has failed {count:d} times')
+def let_it_fail(context, count):
+    assert context.failing.enough.wait(WAIT_LONG_S)
+    context.failing.enough.clear()
+    context.failing.limit = count
+    context.failing.go_on.set()
+    assert context.failing.enough.wait(WAIT_LONG_S)
+
+
+@then('its pauses stay within {most:g} s and it still runs')
+def check_long_outage(context, most):
+    assert max(context.failing.pauses) <= most
+    assert context.follower.is_alive()
