Read registrations by whomever they were written, and know a target's lifetimes

An entry with missing or bent fields was taken for ready if only its address could be read (unknown state, truth values for numbers), or, without meta, ended the whole listing, so that no instance would have heard of any target again. A target that starts again under its name kept the silence and the flows of its last lifetime for seconds.

An answer with bytes that are no text, or a number without an end, is read all the same.

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -156,6 +156,10 @@
         """Forget all that was noted, as after a standstill of our own."""
         self._records = {}
 
+    def forget(self, key):
+        """Forget what was noted of one target."""
+        self._records.pop(key, None)
+
     def keep(self, keys):
         """Forget all targets but these."""
         for key in self._records.keys() - keys:
--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -6,7 +6,7 @@
 of a change.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 REGISTRATION_RETURN_S = 2.5
 """Time after an outage of the store during which a vanished registration
@@ -42,6 +42,9 @@
     :param address: tuple (host, port).
     :param slots: requests that it serves at once.
     :param cold_until: time until which it is slow, process clock seconds.
+    :param born: when it was started, by a clock of its own; 0 if it does
+        not tell.  A target may start again under its name: then it holds
+        nothing of before, and this number is another one.
     """
 
     name: str
@@ -53,6 +56,14 @@
     slots: int
     draining: bool
     cold_until: float
+    born: int = 0
+
+
+class Unreadable:
+    """Stands for the target of an entry that names none."""
+
+
+UNREADABLE = Unreadable()
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +90,10 @@
     by_service: dict = field(default_factory=dict)
     fallback: dict = field(default_factory=dict)
 
+    def find(self, cookie):
+        """Return the target of a cookie, registered or not, or None."""
+        return self.by_cookie.get(cookie) or self.gone.get(cookie)
+
 
 def make_cookie(identity):
     """Fold a target's number into the 32 bits that packets carry.
@@ -294,11 +309,25 @@
         if not is_newer(revision, self._find_seen(name)):
             return False
         self._seen_at[name] = revision
-        self._vanished.pop(name, None)
         known = self._targets.get(name)
+        if target is UNREADABLE:
+            return self._put_unreadable(name, known)
+        self._vanished.pop(name, None)
         self._targets[name] = target
         return known != target
 
+    def _put_unreadable(self, name, known):
+        """Let a target whose entry names none any more get no new flows.
+
+        Another writer has taken its entry.  The target may be alive: taken
+        as gone, its open flows would be reset.  It writes its entry anew
+        with its next heartbeat, or the entry lapses.
+        """
+        if known is None or known.draining:
+            return False
+        self._targets[name] = replace(known, draining=True)
+        return True
+
     def _remove(self, name, revision, now):
         if revision < self._find_seen(name):
             return False
--- a/cornelgap/forwarding/directory_log.py
+++ b/cornelgap/forwarding/directory_log.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from cornelgap.forwarding.directory import UNREADABLE
+
 _LOG = logging.getLogger('cornelgap.directory')
 
 
@@ -53,4 +55,6 @@
 def _name_state(target):
     if target is None:
         return 'gone'
+    if target is UNREADABLE:
+        return 'unreadable'
     return 'draining' if target.draining else 'ready'
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -73,6 +73,10 @@
 
     def adopt_view(self, view):
         """Use another picture of the directory from the next packet on."""
+        for cookie in list_reborn(self.view, view):
+            self.judge.forget(cookie)
+            self.flows.end_target(cookie)
+            self._others.pop(cookie, None)
         self.view = view
         self.judge.keep(view.by_cookie.keys())
         self.flows.keep_loads(view.by_cookie.keys())
@@ -359,6 +363,32 @@
     return packet.cookie
 
 
+def list_reborn(before, view):
+    """Return the cookies of targets that have started again.
+
+    A target may come back under its name, and holds nothing of before.
+    Judged by its last lifetime it would be avoided for seconds, or look
+    full.  Clocks differ, so another time of its start says enough.
+
+    :param before: the view that was in use until now.
+    """
+    return [
+        cookie
+        for cookie, target in view.by_cookie.items()
+        if target is not None and is_reborn(before.find(cookie), target)
+    ]
+
+
+def is_reborn(before, target):
+    """Say whether a target is another lifetime than one known before.
+
+    :param before: the target known before by its cookie, or None.
+    """
+    if before is None or before.identity != target.identity:
+        return False
+    return before.born != target.born
+
+
 def is_gone(view, cookie):
     """Say whether a target that is not in the directory has surely ended.
 
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -140,6 +140,18 @@
                 return
             self._drop(key)
 
+    def end_target(self, cookie):
+        """Note that a target holds nothing of before any more.
+
+        Its flows ended with its last lifetime; counted on, they would keep
+        new flows away from a target that is idle.
+        """
+        for flow in self._flows.values():
+            if flow.cookie == cookie and not flow.closed:
+                self._leave(flow)
+                flow.closed = True
+        self.loads.pop(cookie, None)
+
     def keep_loads(self, cookies):
         """Forget idle targets that are not among these."""
         for cookie in self.loads.keys() - cookies:
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -13,7 +13,12 @@
 from hashlib import blake2b
 
 from cornelgap.core.errors import Code, CodedError
-from cornelgap.forwarding.directory import Route, Target, make_cookie
+from cornelgap.forwarding.directory import (
+    UNREADABLE,
+    Route,
+    Target,
+    make_cookie,
+)
 
 VERSION = 1
 TAG_BYTES = 16
@@ -170,6 +175,8 @@
     """Write a target, or that it has gone, as a list of plain values."""
     if target is None:
         return [name, revision]
+    if target is UNREADABLE:
+        return [name, revision, None]
     cold_s = max(0, target.cold_until - now)
     return [
         name,
@@ -182,13 +189,14 @@
         target.slots,
         int(target.draining),
         round(cold_s, 2),
+        target.born,
     ]
 
 
 def load_change(item, now):
     """Read what :func:`dump_change` has written.
 
-    :returns: tuple (name, :class:`Target` or None, revision).
+    :returns: tuple (name, :class:`Target`, None or ``UNREADABLE``, revision).
     :raises CodedError: ``PKT-007`` if it is malformed.
     """
     try:
@@ -261,6 +269,10 @@
     name, revision = str(item[0]), int(item[1])
     if len(item) == 2:
         return name, None, revision
+    if len(item) == 3:
+        return name, UNREADABLE, revision
+    # An instance of an earlier version does not tell when a target started.
+    born = item[10] if len(item) > 10 else 0
     identity, service, host, port, zone, slots, draining, cold_s = item[2:10]
     target = Target(
         name=name,
@@ -272,6 +284,7 @@
         slots=int(slots),
         draining=bool(draining),
         cold_until=now + float(cold_s),
+        born=int(born),
     )
     return name, target, revision
 
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -44,6 +44,10 @@
         """Forget all targets but these."""
         self._health.keep(cookies)
 
+    def forget(self, cookie):
+        """Forget one target, as it has started anew."""
+        self._health.forget(cookie)
+
     def clear(self):
         """Forget all that was noted, as after a standstill of our own."""
         self._health.clear()
--- a/cornelgap/platform/layout.py
+++ b/cornelgap/platform/layout.py
@@ -120,7 +120,10 @@
 
     :raises ValueError: if it is none.
     """
-    octets = bytes(int(part) for part in text.split('.'))
+    parts = text.split('.')
+    if not all(part.isascii() and part.isdigit() for part in parts):
+        raise ValueError(f'{text[:40]!r} is no IPv4 address')
+    octets = bytes(int(part) for part in parts)
     if len(octets) != 4:
         raise ValueError(f'{text} is no IPv4 address')
     return int.from_bytes(octets, 'big')
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -5,6 +5,7 @@
 """
 
 import string
+from dataclasses import dataclass
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.forwarding.directory import Route, Target, make_cookie
@@ -16,8 +17,24 @@
 """The store's word for targets."""
 
 DRAINING = 'draining'
+_STATES = ('ready', DRAINING)
+
+MAX_TEXT = 250
+"""Longest name, service or zone; the platform's have 3 to 30 characters."""
+
+MAX_QUOTED = 80
+MAX_SLOTS = 100_000
+"""Far above any target; a count beyond it would draw all flows."""
+
+MAX_WARMUP_MS = 600_000
+"""Ten minutes; targets are slow for seconds after their start."""
+
+MAX_BORN_MS = 1 << 53
+MAX_REVISION = 1 << 53
+"""Largest whole numbers that every JSON writer keeps exact."""
+
 _HEX = frozenset(string.hexdigits)
-_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+_MALFORMED = (LookupError, TypeError, ValueError, AttributeError)
 _IDENTITY_BITS = 64
 
 
@@ -57,39 +74,129 @@
     )
 
 
-def load_target(item, now):
-    """Load one registration.
+@dataclass(frozen=True, slots=True)
+class Registration:
+    """One entry of the kind of targets, as far as it can be read.
+
+    :param target: :class:`Target`, None if the entry names none.
+    :param revision: the store's revision of the entry.
+    """
+
+    name: str
+    target: object
+    revision: int
+
+
+def load_registration(item, now):
+    """Load one registration, by whomever it was written.
+
+    An entry of another writer may lack fields, or hold other types or words
+    than a target writes.  Taken at its word it would draw flows to an
+    address that nobody serves; refused with an exception it would hide all
+    other targets, on all instances at the same moment.
 
     :param item: object of the kind of targets.
     :param now: process clock, seconds; what is left of the warm-up counts
         from here.
-    :returns: tuple (:class:`Target` or None, list of :class:`CodedError`).
+    :returns: tuple (:class:`Registration`, list of :class:`CodedError`);
+        None instead of a registration if not even the name can be read.
     """
-    name = item['meta']['name']
     try:
-        return _load_target(name, item['spec'], now), []
+        name = check_text(item['meta']['name'])
+        revision = check_count(item['meta']['revision'], MAX_REVISION)
+    except _MALFORMED as exc:
+        return None, [_make_entry_error('?', exc)]
+    try:
+        target = _load_target(name, item['spec'], now)
     except _MALFORMED as exc:
-        place = f'{TARGETS_KIND}/{name}'
-        return None, [CodedError(Code.CFG_BAD_VALUE, repr(exc), place)]
+        found = Registration(name, None, revision)
+        return found, [_make_entry_error(name, exc)]
+    return Registration(name, target, revision), []
+
+
+def _make_entry_error(name, exc):
+    place = f'{TARGETS_KIND}/{name}'
+    return CodedError(Code.CFG_BAD_VALUE, repr(exc), place)
 
 
 def _load_target(name, spec, now):
-    host, _, port = spec['address'].rpartition(':')
+    host, _, port = check_text(spec['address']).rpartition(':')
     parse_ip(host)
     identity = parse_identity(name)
+    warmup_ms = check_number(spec.get('warmup_left_ms', 0), MAX_WARMUP_MS)
     return Target(
         name=name,
         identity=identity,
         cookie=make_cookie(identity),
-        service=spec['service'],
-        address=(host, int(port)),
-        zone=spec['zone'],
-        slots=spec.get('max_concurrent') or 1,
-        draining=spec.get('state') == DRAINING,
-        cold_until=now + (spec.get('warmup_left_ms') or 0) / 1000,
+        service=check_text(spec['service']),
+        address=(host, parse_port(port)),
+        zone=check_text(spec['zone']),
+        slots=check_count(spec.get('max_concurrent', 1), MAX_SLOTS) or 1,
+        draining=check_state(spec['state']) == DRAINING,
+        cold_until=now + warmup_ms / 1000,
+        born=check_count(spec.get('born', 0), MAX_BORN_MS),
     )
 
 
+def check_text(found):
+    """Return a text of usual length.
+
+    :raises ValueError: if it is none.
+    """
+    if not isinstance(found, str) or not 0 < len(found) <= MAX_TEXT:
+        raise ValueError(f'{_shorten(found)} is no text')
+    return found
+
+
+def check_count(found, most):
+    """Return a whole number from 0 to ``most``.
+
+    :raises ValueError: if it is none; truth values are none either.
+    """
+    if not isinstance(found, int):
+        raise ValueError(f'{_shorten(found)} is no whole number')
+    return check_number(found, most)
+
+
+def check_number(found, most):
+    """Return a number from 0 to ``most``.
+
+    :raises ValueError: if it is none; truth values are none either.
+    """
+    if isinstance(found, bool) or not isinstance(found, (int, float)):
+        raise ValueError(f'{_shorten(found)} is no number')
+    if not 0 <= found <= most:
+        raise ValueError(f'{_shorten(found)} is not within 0 and {most}')
+    return found
+
+
+def check_state(found):
+    """Return a state that the platform names.
+
+    :raises ValueError: for any other.
+    """
+    if found not in _STATES:
+        raise ValueError(f'{_shorten(found)} is no state')
+    return found
+
+
+def parse_port(text):
+    """Read a port from decimal digits.
+
+    :raises ValueError: if it is none.
+    """
+    if not text.isascii() or not text.isdigit() or len(text) > 5:
+        raise ValueError(f'{_shorten(text)} is no port')
+    if not 0 < int(text) < 65536:
+        raise ValueError(f'{text} is no port')
+    return int(text)
+
+
+def _shorten(found):
+    """Quote an unexpected value without filling the log with it."""
+    return repr(found)[:MAX_QUOTED]
+
+
 def parse_identity(name):
     """Read the hex digits of a target's name as a number.
 
@@ -97,6 +204,8 @@
         target, and the guard against reused addresses would be gone.
     """
     digits = ''.join(char for char in name if char in _HEX)
+    if not digits:
+        raise ValueError('no hex digits')
     identity = int(digits, 16) % (1 << _IDENTITY_BITS)
     if not identity:
         raise ValueError('identity 0')
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -9,6 +9,7 @@
 
 import logging
 
+from cornelgap.forwarding.directory import UNREADABLE
 from cornelgap.forwarding.facts import (
     RoutesKnown,
     TargetsChanged,
@@ -21,6 +22,9 @@
 """An answer that brings changes was given at most so long before it came:
 the slowest store that was seen answers in 0.25 s."""
 
+MAX_LOGGED = 1000
+"""Places and reasons kept in mind, about 0.2 MB at most."""
+
 _LOG = logging.getLogger('cornelgap.follower')
 
 
@@ -35,6 +39,7 @@
         self._client = client
         self._revision = 0
         self._routes_revision = 0
+        self._logged = set()
 
     def list_facts(self):
         """List all objects.
@@ -52,10 +57,10 @@
         self._revision = listing.revision
         targets = {}
         for item in listing.objects:
-            target = _read_target(item)
-            if target is not None:
-                revision = item['meta']['revision']
-                targets[target.name] = (target, revision)
+            found = self.read(item)
+            if found is not None:
+                name, target, revision = found
+                targets[name] = (target, revision)
         yield TargetsListed(targets, listing.revision, sent)
         yield self._read_routes()
 
@@ -74,8 +79,8 @@
         else:
             # The store has waited the whole time before it said "nothing".
             as_of = min(sent + wait_s, read_clock())
-        changes = _read_changes(found.events)
-        told = {item['meta']['revision'] for item, _ in found.events}
+        changes = self._read_changes(found.events)
+        told = {revision for _, _, revision in changes}
         self._revision = max(found.revision, self._revision)
         changed = TargetsChanged(changes, found.revision, as_of)
         if is_explained(self._routes_revision, found.revision, told):
@@ -99,9 +104,48 @@
         if not main:
             return RoutesKnown(None, 0, sent)
         routes, errors = objects.load_routes(main[0]['spec'])
-        _log_errors(errors)
+        self._log_errors(errors)
         return RoutesKnown(routes, main[0]['meta']['revision'], sent)
 
+    def _read_changes(self, events):
+        changes = []
+        for item, deleted in events:
+            found = self.read(item)
+            if found is not None:
+                name, target, revision = found
+                changes.append((name, None if deleted else target, revision))
+        return tuple(changes)
+
+    def read(self, item):
+        """Read one registration, by whomever it was written.
+
+        :returns: tuple (name, :class:`~cornelgap.forwarding.directory.Target`
+            or ``UNREADABLE``, revision); None if it has not even a name.
+        """
+        found, errors = objects.load_registration(item, read_clock())
+        self._log_errors(errors)
+        if found is None:
+            return None
+        return found.name, found.target or UNREADABLE, found.revision
+
+    def _log_errors(self, errors):
+        """Log what was left out, once for each place and reason."""
+        for exc in errors:
+            told = (exc.place, exc.text)
+            if told in self._logged:
+                continue
+            if len(self._logged) >= MAX_LOGGED:
+                self._logged.clear()
+            self._logged.add(told)
+            _LOG.warning(
+                'follower: entry left out',
+                extra={
+                    'code': str(exc.code),
+                    'place': exc.place,
+                    'why': exc.text,
+                },
+            )
+
 
 def is_explained(known, revision, told):
     """Say whether nothing but the told changes has happened.
@@ -111,27 +155,3 @@
     :param told: revisions of changes that were told.
     """
     return all(number in told for number in range(known + 1, revision + 1))
-
-
-def _read_changes(events):
-    changes = []
-    for item, deleted in events:
-        target = None if deleted else _read_target(item)
-        if deleted or target is not None:
-            meta = item['meta']
-            changes.append((meta['name'], target, meta['revision']))
-    return tuple(changes)
-
-
-def _read_target(item):
-    target, errors = objects.load_target(item, read_clock())
-    _log_errors(errors)
-    return target
-
-
-def _log_errors(errors):
-    for exc in errors:
-        _LOG.warning(
-            'follower: entry left out',
-            extra={'code': str(exc.code), 'place': exc.place, 'why': exc.text},
-        )
--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -18,6 +18,8 @@
 slow store's 0.25 s."""
 
 MAX_PAGES = 1000
+MAX_DIGITS = 300
+"""Longest whole number that is read as one; longer ones stay text."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +108,7 @@
                 first_revision = body['store_revision']
             if not body.get('more') or not page:
                 return Listing(objects, first_revision)
-            query = {'after': page[-1]['meta']['name']}
+            query = {'after': _find_last_name(page)}
         raise StoreError('the listing does not end', answered=True)
 
     def read_object(self, kind, name, stale=False):
@@ -128,8 +130,9 @@
         query = {'watch': revision, 'wait_ms': int(wait_s * 1000)}
         body = self._call('GET', kind, query, wait_s + CALL_S)
         events = [
-            (event['object'], bool(event.get('deleted')))
+            (event.get('object'), bool(event.get('deleted')))
             for event in body.get('events') or ()
+            if isinstance(event, dict)
         ]
         return Events(events, body['store_revision'])
 
@@ -183,7 +186,38 @@
         conn.request(method, path, text, headers)
         answer = conn.getresponse()
         content = answer.read()
-        return answer.status, json.loads(content) if content else {}
+        return answer.status, load_json(content) if content else {}
+
+
+def load_json(raw):
+    """Decode an answer, whatever a single entry of it holds.
+
+    One entry with bytes that are no text, or with a number of thousands of
+    digits, would otherwise hide all others for as long as it is there.
+
+    :raises ValueError: if it is no JSON.
+    """
+    text = raw.decode('utf-8', 'replace')
+    try:
+        return json.loads(text)
+    except RecursionError as exc:
+        raise ValueError('nested too deeply') from exc
+    except ValueError:
+        return json.loads(text, parse_int=_parse_int)
+
+
+def _parse_int(digits):
+    return int(digits) if len(digits) <= MAX_DIGITS else digits
+
+
+def _find_last_name(page):
+    """Return the name of the last entry of a page that can be read."""
+    for item in reversed(page):
+        try:
+            return item['meta']['name']
+        except (LookupError, TypeError):
+            continue
+    raise StoreError('a page without names', answered=True)
 
 
 def _make_error(status, content):
--- a/features/forwarding_properties.feature
+++ b/features/forwarding_properties.feature
@@ -54,3 +54,10 @@
     overflows would end the packet task of every instance.
     When 1500 probes of a target stay without an answer
     Then it gets no new flow for 4 s after the last one
+
+  Scenario: Any entry of another writer names no target or a whole one
+    Other programs write to the store as well.  A truth value taken for a
+    number, or a state that nobody knows, would draw flows to an address that
+    serves nobody; an exception would hide all targets from all instances.
+    Then hypothesis finds no entry that is neither left out nor whole
+    And a target told in a beat is the same one, reborn or unreadable
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -96,3 +96,18 @@
     Given a follower of a source that always fails
     When it may go on until it has failed 3000 times
     Then its pauses stay within 1.5 s and it still runs
+
+  Scenario: Entries of another writer hide no target
+    Another program writes to the store where targets register: fields are
+    missing or bent, and some bytes are no text.  Were one of them an error,
+    no instance would hear of any target again.
+    Given a store with 3 targets that lists 2 objects a page
+    And entries of another writer among them
+    When a source lists it
+    Then the 3 targets are whole and the other entries name none
+    And a watch tells a change beside a new entry of the other writer
+    And each such entry was logged once, with a code
+
+  Scenario: Bytes that are no text hide no target
+    One entry holds bytes that are no text, or a number without an end.
+    Then an answer with such bytes in one entry is read
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -189,3 +189,18 @@
     When the proof story "young instance" is played
     Then the proof checkers have no objection
     But they object once the guard "young" is taken out
+
+  Scenario: A target starts again under its name
+    It crashed with feeds on it and is back a second later, idle.  By the
+    feeds and the silence of its last lifetime it looks full and dead, and
+    the other targets queue for seconds beside it.
+    When the proof story "reborn target" is played
+    Then the proof checkers have no objection
+    But they object once the guard "reborn" is taken out
+
+  Scenario: A living target's entry is written over by another writer
+    The entry names no target until the target's next heartbeat.  Taken as
+    gone, each of its open feeds would be reset.
+    When the proof story "entry written over" is played
+    Then the proof checkers have no objection
+    But they object once the guard "unreadable" is taken out
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -12,7 +12,7 @@
     peer_messages,
     target_judge,
 )
-from cornelgap.platform import layout, sources
+from cornelgap.platform import layout, objects, sources
 
 
 def follow_carried_cookie(patches):
@@ -152,6 +152,21 @@
     patches.set_attr(target_judge, 'YOUNG_S', 0)
 
 
+def know_one_lifetime(patches):
+    patches.replace_function(engine.is_reborn, lambda before, target: False)
+
+
+def leave_out_unreadable(patches):
+    patches.set_attr(sources.StoreSource, 'read', read_only_whole)
+
+
+def read_only_whole(source, item):
+    found, _ = objects.load_registration(item, 0)
+    if found.target is None:
+        return None
+    return found.name, found.target, found.revision
+
+
 def keep_to_service(patches):
     def order_services(route, packet):
         names = [service for service, _ in route.shares]
@@ -301,4 +316,16 @@
         'a flow opens on the service of a split that is in reach',
         keep_to_service,
     ),
+    (
+        'reborn',
+        4,
+        'a target that has started again is judged anew',
+        know_one_lifetime,
+    ),
+    (
+        'unreadable',
+        4,
+        'an entry that names no target ends no flow',
+        leave_out_unreadable,
+    ),
 )
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -13,7 +13,7 @@
 from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding import peer_messages
 from cornelgap.forwarding.packets import Drop
-from cornelgap.platform import layout
+from cornelgap.platform import layout, sources
 from features.proofs.forwarding_desk import (
     ADDRESS,
     PORT,
@@ -463,3 +463,59 @@
         if got_reset(desk.send(caller, target, ack=1, size=100)):
             found.append('a flow of a live target was reset')
     return found[:1]
+
+
+def play_reborn_target():
+    """A target crashes and starts again under its name."""
+    desk = start_desk(*SEARCH[:2])
+    desk.pass_time(2)
+    for caller in range(40001, 40021):
+        desk.send(caller, SEARCH[0], ack=1)
+    for wait in (0, 0.2, 0.4):
+        desk.pass_time(wait)
+        for caller in range(40001, 40021):
+            desk.send(caller, SEARCH[0], ack=1, size=100)
+    desk.change(replace(SEARCH[0], born=1700000000000))
+    opened = [desk.open(caller) for caller in range(50000, 50020)]
+    if sum(target.cookie == SEARCH[0].cookie for target in opened) < 5:
+        return ['a target that is idle gets no new flow']
+    return []
+
+
+def play_entry_written_over():
+    """Another writer puts something else in the place of an entry."""
+    desk = start_desk()
+    flow = desk.send(40001, SEARCH[0], ack=1)
+    entries = {
+        target.name: {
+            'meta': {'name': target.name, 'revision': 9},
+            'spec': make_spec(target),
+        }
+        for target in SEARCH
+    }
+    entries[SEARCH[0].name]['spec'] = {'state': 'ready', 'address': None}
+    source = sources.StoreSource(None)
+    found = filter(None, map(source.read, entries.values()))
+    listed = {name: (target, revision) for name, target, revision in found}
+    desk.directory.adopt_targets(listed, 9, desk.now, desk.now)
+    desk.show()
+    flow = desk.send(40001, SEARCH[0], ack=2, size=100)
+    if got_reset(flow) or get_target(flow) is None:
+        return ['an open flow of a living target was reset']
+    opened = [desk.open(caller) for caller in range(50000, 50020)]
+    if any(target.cookie == SEARCH[0].cookie for target in opened):
+        return ['a flow was opened by an entry that names no target']
+    return []
+
+
+def make_spec(target):
+    """Make what a target writes of itself."""
+    host, port = target.address
+    return {
+        'service': target.service,
+        'address': f'{host}:{port}',
+        'zone': target.zone,
+        'max_concurrent': target.slots,
+        'state': 'ready',
+        'warmup_left_ms': 0,
+    }
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -13,7 +13,7 @@
 from cornelgap.core.errors import CodedError
 from cornelgap.decisions.flow_health import FlowHealth
 from cornelgap.forwarding import peer_messages as peers
-from cornelgap.forwarding.directory import Directory, Route
+from cornelgap.forwarding.directory import UNREADABLE, Directory, Route
 from cornelgap.forwarding.packets import Drop, Forward, Reset
 from cornelgap.platform import layout, objects
 from cornelgap.platform.settings import load_node_settings
@@ -390,3 +390,80 @@
 def check_avoided(context, seconds):
     assert context.health.is_avoided('target', context.now + seconds - 0.1)
     assert not context.health.is_avoided('target', context.now + seconds + 0.1)
+
+
+JSON = st.recursive(
+    st.one_of(
+        st.none(),
+        st.booleans(),
+        st.integers(-(10**40), 10**40),
+        st.floats(),
+        st.text(max_size=8),
+        st.sampled_from(('ready', '10.0.0.1:80', 'draining', 'gone')),
+    ),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=3),
+        st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    ),
+    max_leaves=6,
+)
+WHOLE_SPEC = {
+    'service': 'search',
+    'address': '10.0.0.1:8080',
+    'zone': 'a',
+    'max_concurrent': 2,
+    'state': 'ready',
+    'warmup_left_ms': 0,
+    'seq': 1,
+    'born': 1700000000000,
+}
+ENTRIES = st.one_of(
+    JSON,
+    st.builds(
+        lambda name, revision, changed: {
+            'meta': {'name': name, 'revision': revision},
+            'spec': {**WHOLE_SPEC, **changed},
+        },
+        st.one_of(st.just('i-7f'), JSON),
+        st.one_of(st.integers(1, 99), JSON),
+        st.dictionaries(st.sampled_from(sorted(WHOLE_SPEC)), JSON, max_size=2),
+    ),
+)
+
+
+@then('hypothesis finds no entry that is neither left out nor whole')
+def check_entries(context):
+    @QUIET
+    @vary(ENTRIES)
+    def search(item):
+        found, errors = objects.load_registration(item, 100)
+        if found is None or found.target is None:
+            assert errors and errors[0].code == 'CFG-004'
+            return
+        assert not errors
+        check_whole(found.target)
+
+    search()
+
+
+def check_whole(target):
+    assert type(target.slots) is int
+    assert target.slots > 0
+    assert type(target.born) is int
+    assert 0 < target.identity < 1 << 64
+    assert isinstance(target.service, str)
+    assert isinstance(target.zone, str)
+    host, port = target.address
+    assert 0 < port < 65536
+    assert len(host.split('.')) == 4
+    assert 100 <= target.cold_until <= 100 + objects.MAX_WARMUP_MS / 1000
+
+
+@then('a target told in a beat is the same one, reborn or unreadable')
+def check_told_targets(context):
+    for target in (make_target(5, born=1700000000000), UNREADABLE, None):
+        item = json.loads(
+            json.dumps(peers.dump_change('i-00000005', target, 7, 0))
+        )
+        name, found, revision = peers.load_change(item, 0)
+        assert (revision, found) == (7, target)
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -1,5 +1,6 @@
 """Steps on the store's client and source against the stand-in store."""
 
+import logging
 import queue
 import random
 import threading
@@ -8,6 +9,7 @@
 from behave import given, then, when
 
 from cornelgap.core.errors import CodedError
+from cornelgap.forwarding.directory import UNREADABLE
 from cornelgap.forwarding.facts import (
     RoutesKnown,
     TargetsChanged,
@@ -27,6 +29,7 @@
     HistoryGone,
     StoreClient,
     StoreError,
+    load_json,
 )
 from standins.object_store import ObjectStore, start_store
 
@@ -402,3 +405,68 @@
 def check_long_outage(context, most):
     assert max(context.failing.pauses) <= most
     assert context.follower.is_alive()
+
+
+FOREIGN = {
+    'i-000000a1': {'state': 'ready'},
+    'i-000000a2': make_spec(12, 'asleep'),
+    'i-000000a3': {**make_spec(13), 'max_concurrent': True},
+    'i-000000a4': {**make_spec(14), 'address': ['127.0.0.1', 8014]},
+    'i-000000a5': {**make_spec(15), 'service': None},
+    'i-000000a6': {**make_spec(16), 'born': -1},
+    'i-000000a7': 'no entry at all',
+    'zyx': make_spec(17),
+}
+
+
+@given('entries of another writer among them')
+def put_foreign(context):
+    context.lines = []
+    handler = logging.Handler()
+    handler.emit = context.lines.append
+    log = logging.getLogger('cornelgap.follower')
+    log.addHandler(handler)
+    context.cleanups.append(lambda: log.removeHandler(handler))
+    for name, spec in FOREIGN.items():
+        context.store.put('servers', name, spec)
+
+
+@then('the {count:d} targets are whole and the other entries name none')
+def check_foreign(context, count):
+    listed = pick(context.facts, TargetsListed).targets
+    whole = [name for name, (it, _) in listed.items() if it is not UNREADABLE]
+    assert whole == [f'i-{number:08x}' for number in range(1, count + 1)]
+    assert listed.keys() - set(whole) == FOREIGN.keys()
+
+
+@then('a watch tells a change beside a new entry of the other writer')
+def check_foreign_change(context):
+    context.store.put('servers', 'i-000000b1', {'service': 'search'})
+    drain(context)
+    changes = []
+    while len(changes) < 2:
+        facts = context.source.watch_facts(WAIT_S)
+        changes += pick(facts, TargetsChanged).changes
+    told = {name: target for name, target, _ in changes}
+    assert told['i-000000b1'] is UNREADABLE
+    assert told['i-00000001'].draining
+
+
+@then('each such entry was logged once, with a code')
+def check_foreign_lines(context):
+    list_all(context)
+    places = [line.place for line in context.lines if line.code == 'CFG-004']
+    wanted = [f'servers/{name}' for name in (*FOREIGN, 'i-000000b1')]
+    assert sorted(places) == sorted(wanted), places
+
+
+@then('an answer with such bytes in one entry is read')
+def check_odd_bytes(context):
+    digits = b'9' * 5000
+    raw = b'{"a": "\xff\xfe", "b": %s, "c": {"revision": 7}}' % digits
+    assert load_json(raw)['c'] == {'revision': 7}
+    try:
+        load_json(b'[' * 100000)
+    except ValueError:
+        return
+    raise AssertionError('nesting without an end was read')
