--- a/features/forwarding_start.feature
+++ b/features/forwarding_start.feature
@@ -33,3 +33,8 @@
     socket is opened by the first steps, so they must not wait for the rest.
     When the first steps of the program are loaded
     Then neither actors, logs nor the store's client are loaded with them
+
+  Scenario: The program loads nothing that forwarding does not need
+    Callers wait until it is loaded.  One import of the standard library's
+    HTTP client brings the modules for mail and TLS, a fifth of the start.
+    Then the whole program loads without mail, TLS or the standard HTTP client
--- a/features/steps/forwarding_start_steps.py
+++ b/features/steps/forwarding_start_steps.py
@@ -140,3 +140,18 @@
     assert 'cornelgap.platform.settings' in context.loaded
     heavy = set(HEAVY) & set(context.loaded)
     assert not heavy, heavy
+
+
+@then('the whole program loads without mail, TLS or the standard HTTP client')
+def check_program(context):
+    code = (
+        'import sys, cornelgap.platform.node;'
+        "print(*{'email', 'ssl', 'http.client'} & sys.modules.keys())"
+    )
+    found = subprocess.run(
+        [sys.executable, '-P', '-c', code],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    assert not found.stdout.split(), found.stdout
