Take no target from an entry that lacks its slots or its warm-up

Targets write both (180 registrations seen, all have them); an entry without one is another writer's and names no target. Found in the read-through; the scenario's new entry was taken for a target before.

--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -123,7 +123,7 @@
     host, _, port = check_text(spec['address']).rpartition(':')
     parse_ip(host)
     identity = parse_identity(name)
-    warmup_ms = check_number(spec.get('warmup_left_ms', 0), MAX_WARMUP_MS)
+    warmup_ms = check_number(spec['warmup_left_ms'], MAX_WARMUP_MS)
     return Target(
         name=name,
         identity=identity,
@@ -131,7 +131,7 @@
         service=check_text(spec['service']),
         address=(host, parse_port(port)),
         zone=check_text(spec['zone']),
-        slots=check_count(spec.get('max_concurrent', 1), MAX_SLOTS) or 1,
+        slots=check_count(spec['max_concurrent'], MAX_SLOTS) or 1,
         draining=check_state(spec['state']) == DRAINING,
         cold_until=now + warmup_ms / 1000,
         born=check_count(spec.get('born', 0), MAX_BORN_MS),
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -415,6 +415,11 @@
     'i-000000a5': {**make_spec(15), 'service': None},
     'i-000000a6': {**make_spec(16), 'born': -1},
     'i-000000a7': 'no entry at all',
+    'i-000000a8': {
+        name: found
+        for name, found in make_spec(18).items()
+        if name != 'max_concurrent'
+    },
     'zyx': make_spec(17),
 }
 
