Take turns at probing a zone that is away, and tell when it is back

Cause: once a zone is found away, each instance lets one new flow a second open there, to notice when it is back. Eight instances probe 12 times a second (each of the cut zone probes three zones), 195 about 300 times, and each probe is a caller who waited 0.6 s, since a first copy stays on its target.

Change: instances of a zone take turns by rank, one probe a second for all of them; who sees an answer tells the others; a probe moves on with its first copy, after 0.2 s.

--- a/cornelgap/decisions/zone_reach.py
+++ b/cornelgap/decisions/zone_reach.py
@@ -25,9 +25,11 @@
 0.6 s; in that time some flow of a zone that is in reach is answered."""
 
 PROBE_S = 1.0
-"""Pause between two new flows that may open in the zone all the same.  Each
-costs its caller 0.2 s if the zone is still away; without them nobody would
-notice that it is back once all flows have left."""
+"""Pause between two new flows that may open in the zone all the same, for
+all instances of an availability zone together.  Each costs its caller 0.2 s
+if the zone is still away; without them nobody would notice that it is back
+once all flows have left.  When each instance probed for itself, the probes
+of 8 instances were 12 flows a second, and of 195 about 300."""
 
 
 class _Zone(Struct):
@@ -47,12 +49,16 @@
     """What flows say of each availability zone.
 
     :ivar witnesses: instances whose flows must speak against a zone.
+    :ivar instances: instances of the own zone that take turns at probing.
+    :ivar rank: how many of these probe before this one.
     """
 
     def __init__(self):
         """Take all zones to be in reach."""
         self._zones = {}
         self.witnesses = 1
+        self.instances = 1
+        self.rank = 0
 
     def note_repeat(self, zone, target, instance, now):
         """Note that a caller repeated for the second time.
@@ -74,29 +80,38 @@
         quiet = now - record.answered_at >= ANSWER_S
         if enough and seen and quiet and not record.away:
             record.away = True
-            record.probe_at = now + PROBE_S
+            record.probe_at = now + PROBE_S * (1 + self.rank)
 
     def note_answer(self, zone, answered_at):
         """Note when a target of a zone has answered.
 
         :param answered_at: time of the answer; the past where a caller told
             of it late, so that later repeats still count.
+        :returns: whether the zone was away until now.
         """
         record = self._zones.setdefault(zone, _Zone())
         if answered_at <= record.answered_at:
-            return
+            return False
         record.answered_at = answered_at
         newest = max(record.repeats.values(), default=float('-inf'))
-        if newest <= answered_at:
-            record.repeats.clear()
-            record.away = False
+        if newest > answered_at:
+            return False
+        record.repeats.clear()
+        was_away = record.away
+        record.away = False
+        return was_away
+
+    def is_away(self, zone):
+        """Say whether a zone is away."""
+        record = self._zones.get(zone)
+        return record is not None and record.away
 
     def take_probe(self, zone, now):
         """Say whether a new flow may open in a zone that is away."""
         record = self._zones[zone]
         if now < record.probe_at:
             return False
-        record.probe_at = now + PROBE_S
+        record.probe_at = now + PROBE_S * self.instances
         return True
 
     def list_away(self):
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -347,7 +347,10 @@
         neighbours = self._neighbours
         others = neighbours.sum_others(self._reported, now)
         news = OthersLoad(
-            others, neighbours.count_zone(), neighbours.choose_load_pause()
+            others,
+            neighbours.count_zone(),
+            neighbours.choose_load_pause(),
+            neighbours.compute_rank(),
         )
         tell_service(self.scope, FORWARDING, news)
         if neighbours.is_first_hub:
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -117,17 +117,18 @@
         """Return the age of the directory in seconds, for logs."""
         return round(now - self.fresh_until + FRESH_S, 3)
 
-    def note_others(self, loads, instances, pause_s):
+    def note_others(self, loads, instances, pause_s, rank=0):
         """Note the flows on targets that other instances see.
 
         :param loads: flows by cookie.
         :param instances: instances of this zone, this one included.
         :param pause_s: seconds between two reports.
+        :param rank: how many of these instances precede this one.
         """
         self._others = loads
         self._instances = instances
         self._news_s = pause_s * NEWS_PAUSES
-        self.judge.set_instances(instances)
+        self.judge.set_instances(instances, rank)
 
     def note_evidence(self, instance, repeats, answers, now):
         """Note what flows through another instance say of targets.
@@ -200,9 +201,15 @@
         return Forward(target, Reason.MOVED_ON if tried else Reason.PLACED)
 
     def _may_open_on(self, target, now):
-        """Say whether a copy may go to the target that got the first SYN."""
+        """Say whether a copy may go to the target that got the first SYN.
+
+        A probe of a zone that is away moves on with its first copy; its
+        caller would otherwise wait 0.6 s instead of 0.2 s.
+        """
         if target is None or not takes_flows(target):
             return False
+        if self.judge.is_away(target.zone):
+            return False
         return not self.judge.is_avoided(target.cookie, now)
 
     def _note_copy(self, packet, known, now):
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -67,11 +67,13 @@
     :param loads: flows by cookie.
     :param instances: instances of this zone, this one included.
     :param pause_s: seconds between two reports of load.
+    :param rank: how many of these instances precede this one.
     """
 
     loads: dict
     instances: int
     pause_s: float
+    rank: int = 0
 
 
 class EvidenceSeen(Struct, frozen=True):
@@ -208,9 +210,9 @@
 
     def _read(self, _message):
         self._read_batch()
-        repeats = self._engine.judge.take_evidence()
-        if repeats:
-            self._tell(EvidenceSeen(repeats, []))
+        repeats, returns = self._engine.judge.take_evidence()
+        if repeats or returns:
+            self._tell(EvidenceSeen(repeats, returns))
             self._give_up_silent()
 
     def _give_up_silent(self):
@@ -333,7 +335,7 @@
 
     def _take_others(self, message):
         self._engine.note_others(
-            message.loads, message.instances, message.pause_s
+            message.loads, message.instances, message.pause_s, message.rank
         )
 
     def _tick(self, _message):
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -32,13 +32,19 @@
         self._health = FlowHealth()
         self._reach = ZoneReach()
         self._evidence = []
+        self._returns = []
         self._began_at = None
         self.silent = frozenset()
 
-    def set_instances(self, count):
-        """Note how many instances the zone has, this one included."""
+    def set_instances(self, count, rank):
+        """Note how many instances the zone has, this one included.
+
+        :param rank: how many of them precede this one.
+        """
         self._health.witnesses = 2 if count >= WITNESSED else 1
         self._reach.witnesses = self._health.witnesses
+        self._reach.instances = count
+        self._reach.rank = rank
 
     def keep(self, cookies):
         """Forget all targets but these."""
@@ -71,16 +77,20 @@
 
     def note_answer(self, cookie, target, answered_at):
         """Note since when a target is known to have answered."""
-        self._health.note_answer(cookie, answered_at)
-        if target is not None:
-            self._reach.note_answer(target.zone, answered_at)
+        if self._take_answer(cookie, target, answered_at):
+            # One instance probes for all: the others have no flow there, and
+            # would stay out of the zone until their own turn.
+            self._returns.append(cookie)
 
     def take_evidence(self):
         """Return what was seen here since the last call.
 
-        :returns: lists [cookie, flow number, whether again] of repeats.
+        :returns: tuple (lists [cookie, flow number, whether again] of
+            repeats, cookies of targets whose zones are back).
         """
-        found, self._evidence = self._evidence, []
+        found = (self._evidence, self._returns)
+        self._evidence = []
+        self._returns = []
         return found
 
     def note_evidence(self, by_cookie, instance, repeats, answers, now):
@@ -92,7 +102,7 @@
         :returns: cookies that have repeats there and answers here.
         """
         for cookie in answers:
-            self.note_answer(cookie, by_cookie.get(cookie), now)
+            self._take_answer(cookie, by_cookie.get(cookie), now)
         alive = []
         for cookie, number, again in repeats:
             if self._health.has_answered(cookie, now):
@@ -114,6 +124,10 @@
             if not self._reach.take_probe(zone, now)
         ]
 
+    def is_away(self, zone):
+        """Say whether a zone is away, be it due for a probe or not."""
+        return self._reach.is_away(zone)
+
     def list_away(self):
         """Return the names of zones that are away, in order."""
         return self._reach.list_away()
@@ -143,6 +157,13 @@
         self.silent = silent
         return fresh
 
+    def _take_answer(self, cookie, target, answered_at):
+        """Note an answer; return whether it shows that a zone is back."""
+        self._health.note_answer(cookie, answered_at)
+        if target is None:
+            return False
+        return self._reach.note_answer(target.zone, answered_at)
+
     def _judge_repeat(self, cookie, target, flow, again, now):
         zone = None if target is None else target.zone
         if again and zone is not None:
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -168,6 +168,28 @@
     Then the proof checkers have no objection
     But they object once the guard "zone-reach" is taken out
 
+  Scenario: Many instances look whether a zone is back
+    It stays cut off for seconds, and each look is a caller's opening that
+    nobody answers.  If each instance looked for itself, every third caller
+    of a large zone would wait.
+    When the proof story "zone probes" is played
+    Then the proof checkers have no objection
+    But they object once the guard "probe-turns" is taken out
+
+  Scenario: One instance sees that a zone is back
+    The others have no flow there any more.  They would stay out of it until
+    their own turn to look, and the zones left would queue.
+    When the proof story "zone back" is played
+    Then the proof checkers have no objection
+    But they object once the guard "zone-returns" is taken out
+
+  Scenario: A look at a zone that is still away
+    The caller whose opening it was repeats it after 0.2 s.  On the same
+    target it would wait until its second copy, 0.6 s in all.
+    When the proof story "probe copy" is played
+    Then the proof checkers have no objection
+    But they object once the guard "probe-moves" is taken out
+
   Scenario: One crashed target does not speak for its zone
     The zone's other targets had nothing to do for a moment.  If the whole
     zone were left out, the callers' own zone would queue beside idle targets.
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -144,6 +144,29 @@
     patches.set_attr(zone_reach, 'SILENT_TARGETS', 1)
 
 
+def probe_alone(patches):
+    def take_probe(self, zone, now):
+        record = self._zones[zone]
+        if now < record.probe_at:
+            return False
+        record.probe_at = now + zone_reach.PROBE_S
+        return True
+
+    patches.set_attr(zone_reach.ZoneReach, 'take_probe', take_probe)
+
+
+def keep_returns(patches):
+    def take_evidence(self):
+        found, self._evidence = self._evidence, []
+        return found, []
+
+    patches.set_attr(target_judge.TargetJudge, 'take_evidence', take_evidence)
+
+
+def hold_probes(patches):
+    patches.set_attr(zone_reach.ZoneReach, 'is_away', lambda self, zone: False)
+
+
 def count_backlog(patches):
     patches.set_attr(engine, 'REPEAT_S', 0)
 
@@ -308,6 +331,24 @@
         'one silent target says nothing of its zone',
         believe_one_target,
     ),
+    (
+        'probe-turns',
+        1,
+        'instances of a zone take turns at probing one that is away',
+        probe_alone,
+    ),
+    (
+        'zone-returns',
+        1,
+        'all instances hear that a zone is back',
+        keep_returns,
+    ),
+    (
+        'probe-moves',
+        1,
+        'a probe moves on with its first copy',
+        hold_probes,
+    ),
     (
         'backlog',
         10,
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -369,60 +369,6 @@
     return found[:1]
 
 
-def start_two_zones():
-    """Start an engine with four targets here and four in zone b.
-
-    :returns: tuple (desk, dict caller -> target in zone b).
-    """
-    near = [make_target(number) for number in range(1, 5)]
-    far = [make_target(number, zone='b') for number in range(5, 9)]
-    desk = start_desk(*near, *far)
-    flows = {40001 + number: far[number % 4] for number in range(8)}
-    for caller, target in flows.items():
-        desk.send(caller, target, ack=1)
-        desk.send(caller, target, ack=2)
-    return desk, flows
-
-
-def load_own_zone(desk):
-    """Let the own zone's targets look so loaded that flows go elsewhere."""
-    loads = {target.cookie: 60 for target in SEARCH}
-    desk.engine.note_others(loads, instances=1, pause_s=0.5)
-
-
-def repeat_twice(desk, flows, callers):
-    """Let some callers send a request and repeat it two times."""
-    for wait in (0, 0.2, 0.4):
-        desk.pass_time(wait)
-        for caller in callers:
-            desk.send(caller, flows[caller], ack=2, size=100)
-
-
-def play_zone_away():
-    """Another zone is cut off, and our own zone is the more loaded one."""
-    desk, flows = start_two_zones()
-    load_own_zone(desk)
-    desk.pass_time(1)
-    repeat_twice(desk, flows, list(flows)[:2])
-    opened = [desk.open(caller) for caller in range(50000, 50040)]
-    far = sum(target.zone == 'b' for target in opened)
-    return [f'{far} flows are opened behind the cut'] if far > 1 else []
-
-
-def play_zone_with_one_dead_target():
-    """One target of another zone has crashed, the others had nothing to do."""
-    desk, flows = start_two_zones()
-    load_own_zone(desk)
-    desk.pass_time(1)
-    crashed = flows[40001]
-    held = [caller for caller, target in flows.items() if target == crashed]
-    repeat_twice(desk, flows, held)
-    opened = [desk.open(caller) for caller in range(50000, 50040)]
-    if not any(target.zone == 'b' for target in opened[1:]):
-        return ['a zone that is in reach gets no flow']
-    return []
-
-
 def play_young_instance():
     """An instance has just started and has seen no answer yet."""
     desk = start_desk()
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -8,9 +8,16 @@
     part_stories,
     stories,
     world_stories,
+    zone_stories,
 )
 
-PLACES = (stories, part_stories, world_stories, forwarding_stories)
+PLACES = (
+    stories,
+    part_stories,
+    world_stories,
+    forwarding_stories,
+    zone_stories,
+)
 
 
 def play_story(name):
