Judge thousands of targets without sorting for each; outcomes are one type

Decisions are the same; the median without one value is checked against the plain one. Beats hold outcomes as the same type on both sides.

--- a/cornelgap/decisions/target_outliers.py
+++ b/cornelgap/decisions/target_outliers.py
@@ -16,7 +16,7 @@
 """
 
 import math
-import statistics
+from bisect import bisect_left
 from collections import deque
 
 from msgspec import Struct, field
@@ -102,22 +102,27 @@
         :param keys: the keys of all its targets.
         :returns: keys of those that are avoided from now on.
         """
-        sums = {key: self._sum(key, now) for key in keys}
+        sums = {
+            key: self._sum(self._records[key], now)
+            for key in keys
+            if key in self._records
+        }
         shares = {
             key: found.failed / found.total
             for key, found in sums.items()
             if found.total >= LEAST_REQUESTS
         }
+        if len(shares) < 2:
+            return []
+        ordered = sorted(shares.values())
         room = MOST_SHARE * len(keys)
         room -= sum(self.is_avoided(key, now) for key in keys)
         chosen = []
         for key in sorted(shares, key=shares.get, reverse=True):
             if len(chosen) + 1 > room:
                 break
-            peers = [share for other, share in shares.items() if other != key]
-            if self.is_avoided(key, now) or not peers:
-                continue
-            if stands_out(sums[key], statistics.median(peers)):
+            usual = find_median_without(ordered, shares[key])
+            if stands_out(sums[key], usual) and not self.is_avoided(key, now):
                 self._avoid(self._records[key], now)
                 chosen.append(key)
         return chosen
@@ -148,11 +153,8 @@
         for key in self._records.keys() - keys:
             self._records.pop(key)
 
-    def _sum(self, key, now):
+    def _sum(self, record, now):
         total = Outcomes()
-        record = self._records.get(key)
-        if record is None:
-            return total
         while record.told and now - record.told[0][0] > WINDOW_S:
             record.told.popleft()
         for _, outcomes in record.told:
@@ -182,6 +184,23 @@
     return not is_full(outcomes)
 
 
+def find_median_without(ordered, value):
+    """Return the median of a sorted list without one of its values.
+
+    A service may have thousands of targets, and each is compared with all
+    others: sorting them anew for each would hold up packets for seconds.
+
+    :param ordered: at least two numbers, ascending.
+    """
+    left_out = bisect_left(ordered, value)
+    rest = len(ordered) - 1
+    lower = (rest - 1) // 2
+    upper = rest // 2
+    lower_value = ordered[lower + (lower >= left_out)]
+    upper_value = ordered[upper + (upper >= left_out)]
+    return (lower_value + upper_value) / 2
+
+
 def is_full(outcomes):
     """Say whether a target serves late what it serves, as a full one does."""
     return outcomes.slow > outcomes.prompt
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -358,10 +358,10 @@
         if not outcomes:
             return
         if self._neighbours.is_first_hub:
-            parts['zone_outcomes'] = peers.dump_outcomes(outcomes)
+            parts['zone_outcomes'] = outcomes
             tell_service(self.scope, FORWARDING, ZoneOutcomes(outcomes))
         else:
-            parts['outcomes'] = peers.dump_outcomes(outcomes)
+            parts['outcomes'] = outcomes
 
     def _take_told_outcomes(self, beat):
         if beat.zone_outcomes and beat.zone == self._own.zone:
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -12,7 +12,7 @@
 from hashlib import blake2b
 
 from msgspec import Struct, field
-from msgspec.structs import fields
+from msgspec.structs import astuple, fields
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.decisions.target_outliers import Outcomes
@@ -120,7 +120,8 @@
         for name in _ORDER
         if getattr(beat, name) not in _EMPTY
     }
-    body = json.dumps(content, separators=(',', ':')).encode()
+    # The only structs in a beat are outcomes; they become lists of counts.
+    body = json.dumps(content, separators=(',', ':'), default=astuple).encode()
     if len(body) > PACK_BYTES:
         body = zlib.compress(body, 1)
     return seal(body, key)
@@ -371,14 +372,6 @@
         raise CodedError(Code.PKT_FIELD, repr(exc), name) from exc
 
 
-def dump_outcomes(outcomes):
-    """Write outcomes by cookie as plain values."""
-    return {
-        cookie: [found.prompt, found.slow, found.failed]
-        for cookie, found in outcomes.items()
-    }
-
-
 def _read_outcomes(outcomes, name):
     try:
         return {
--- a/features/forwarding_properties.feature
+++ b/features/forwarding_properties.feature
@@ -48,6 +48,9 @@
     Then it fits into a datagram and survives encoding
     And bent copies of it are refused with a code or read as they were
 
+  Scenario: A target is compared with all others of its service
+    Then a median without one of the values is that of the others
+
   Scenario: A registered target answers nobody for hours
     It is cut off, and its registration stays.  Each probe that it does not
     answer doubles the time without new flows up to a bound; a count that
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -1,6 +1,7 @@
 """Steps that search for packets, beats and orders of facts that break."""
 
 import json
+import statistics
 import string
 import tempfile
 from pathlib import Path
@@ -12,6 +13,10 @@
 
 from cornelgap.core.errors import CodedError
 from cornelgap.decisions.flow_health import FlowHealth
+from cornelgap.decisions.target_outliers import (
+    Outcomes,
+    find_median_without,
+)
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.directory import UNREADABLE, Directory, Route
 from cornelgap.forwarding.packets import Drop, Forward, Reset
@@ -33,6 +38,9 @@
 octets = st.integers(0, 255)
 names = st.text(string.ascii_lowercase, min_size=1, max_size=6)
 loads = st.dictionaries(words, st.integers(0, 500), max_size=4)
+outcomes = st.dictionaries(
+    words, st.builds(Outcomes, ports, ports, ports), max_size=3
+)
 ages = st.one_of(st.none(), st.floats(0, 1000))
 BEATS = st.builds(
     peers.Beat,
@@ -52,6 +60,8 @@
     zone_loads=st.one_of(st.none(), loads.filter(bool)),
     repeats=st.lists(st.lists(words, min_size=3, max_size=3), max_size=3),
     answers=st.lists(words, max_size=3),
+    outcomes=outcomes,
+    zone_outcomes=outcomes,
     members=st.lists(
         st.tuples(names, names, names, words).map(list), max_size=3
     ),
@@ -392,6 +402,22 @@
     assert not context.health.is_avoided('target', context.now + seconds + 0.1)
 
 
+@then('a median without one of the values is that of the others')
+def check_median(context):
+    shares = st.lists(st.floats(0, 1), min_size=2, max_size=9)
+
+    @QUIET
+    @vary(shares, st.data())
+    def search(values, draw):
+        value = draw.draw(st.sampled_from(values))
+        found = find_median_without(sorted(values), value)
+        others = list(values)
+        others.remove(value)
+        assert abs(found - statistics.median(others)) < 1e-9
+
+    search()
+
+
 JSON = st.recursive(
     st.one_of(
         st.none(),
