--- a/cornelgap/decisions/target_outliers.py
+++ b/cornelgap/decisions/target_outliers.py
@@ -31,7 +31,7 @@
 """Standard deviations above the peers' share, of a count that chance makes,
 with one failure more in the variance since the median of few is rough: where
 the peers have none, five failures.  Judged twice a second, three deviations
-take a target away every few seconds while a service fails a tenth of all."""
+take a target away now and then while all of a service fail alike."""
 
 LEAST_REQUESTS = 4
 """Requests from which on the share of a peer counts for the median."""
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -29,8 +29,8 @@
 FAR_LOAD_S = 60.0
 """Age up to which the sum of another zone counts.  Its long flows stay while
 it is cut off, and old news of them is closer than none: taken to be empty, a
-zone that was back got a flood of flows from all others in its first second,
-and lost three times as many requests as before in the next cut."""
+zone that is back gets all new flows of the others in its first second, and
+the next cut breaks them."""
 
 HELLO_S = 0.4
 """Seconds between two questions while nobody is known, and just after the
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -185,8 +185,8 @@
 
   Scenario: An answer was on its way when a zone was cut off
     One instance sees it late.  If the others took it for the zone's return,
-    they would go on opening flows behind the cut: on 63 instances twice as
-    many requests failed in the first two seconds of a cut.
+    they would go on opening flows behind the cut until they have found out
+    anew, and the callers of these would wait.
     When the proof story "late answer of zone" is played
     Then the proof checkers have no objection
     But they object once the guard "return-proved" is taken out
