Open no flow in an availability zone that operators drain

Change: an order is a fact of the directory like routes and targets, with the store revision as of which it is known. The one watch for targets shows by its revision that something else has changed; then orders are listed, then the configuration, and what the list is good for is its own revision, since an order may come while the configuration is read.

What only drained zones could take is refused at once, also where the others lie beyond a cut.

A start is now content with an old answer (a tenth), whose old revision lets the first watch or a neighbour's beat bring what has come since.

--- a/cornelgap/forwarding/beats.py
+++ b/cornelgap/forwarding/beats.py
@@ -63,6 +63,8 @@
             beat.targets_revision = directory.targets_revision
             beat.targets_changed = directory.targets_changed
             beat.targets_age = _round_age(now - directory.targets_as_of)
+            beat.drained_zones = sorted(directory.drained_zones)
+            beat.drained_revision = directory.drained_revision
         if beat.hello or zone != own.zone:
             beat.members = self._neighbours.list_members(now, zone)
         return beat
--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -78,6 +78,9 @@
         target has taken the address.
     :param by_service: targets for new flows, by service.
     :param fallback: targets whose registration may come back, by service.
+    :param drained_zones: zones whose targets get no new flow, by order of an
+        operator.
+    :param drained_services: services that have targets in these zones.
     """
 
     routes: dict = field(default_factory=dict)
@@ -87,11 +90,19 @@
     gone: dict = field(default_factory=dict)
     by_service: dict = field(default_factory=dict)
     fallback: dict = field(default_factory=dict)
+    drained_zones: frozenset = frozenset()
+    drained_services: frozenset = frozenset()
 
     def find(self, cookie):
         """Return the target of a cookie, registered or not, or None."""
         return self.by_cookie.get(cookie) or self.gone.get(cookie)
 
+    def takes_flows(self, target):
+        """Say whether a target may get new flows."""
+        return takes_flows(target) and is_zone_open(
+            target.zone, self.drained_zones
+        )
+
 
 def make_cookie(identity):
     """Fold a target's number into the 32 bits that packets carry.
@@ -117,6 +128,15 @@
     return not target.draining
 
 
+def is_zone_open(zone, drained_zones):
+    """Say whether targets of a zone may get new flows.
+
+    An operator drains a zone before its machines are taken away; a flow that
+    is opened there all the same ends with them.
+    """
+    return zone not in drained_zones
+
+
 def compute_gone_at(target, now, outage_until):
     """Return when a target whose registration vanished counts as gone.
 
@@ -158,6 +178,8 @@
         self.targets_changed = 0
         self.routes_as_of = None
         self.targets_as_of = None
+        self.drained_revision = 0
+        self.drained_zones = frozenset()
         self._routes = {}
         self._dropped = set()
         self._targets = {}
@@ -187,6 +209,22 @@
         self._routes = fresh
         return True
 
+    def adopt_drained(self, zones, revision, now):
+        """Put the orders to drain zones in force if they are newer.
+
+        :param zones: names of all zones that are to be drained.
+        :param revision: store revision as of which these are all.
+        :returns: whether anything changed.
+        """
+        if not is_newer(revision, self.drained_revision):
+            return False
+        self.drained_revision = revision
+        drained = frozenset(zones)
+        if drained == self.drained_zones:
+            return False
+        self.drained_zones = drained
+        return True
+
     def confirm_routes(self, as_of):
         """Note that the known configuration was the newest at that time."""
         if self.routes_as_of is not None:
@@ -249,6 +287,7 @@
         by_cookie = {}
         by_service = {}
         fallback = {}
+        drained_services = set()
         taken = {target.address for target in self._targets.values()}
         gone = {}
         for item in self._vanished.values():
@@ -260,11 +299,14 @@
             if item.gone_at <= now:
                 gone[target.cookie] = target
                 continue
-            fallback.setdefault(target.service, []).append(target)
+            if is_zone_open(target.zone, self.drained_zones):
+                fallback.setdefault(target.service, []).append(target)
             add_cookie(by_cookie, target)
         for target in self._targets.values():
             add_cookie(by_cookie, target)
-            if takes_flows(target):
+            if not is_zone_open(target.zone, self.drained_zones):
+                drained_services.add(target.service)
+            elif takes_flows(target):
                 by_service.setdefault(target.service, []).append(target)
         return View(
             routes=self._routes,
@@ -274,6 +316,8 @@
             gone=gone,
             by_service=by_service,
             fallback=fallback,
+            drained_zones=self.drained_zones,
+            drained_services=frozenset(drained_services),
         )
 
     def next_change(self, now):
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -22,6 +22,7 @@
     RoutesKnown,
     TargetsChanged,
     TargetsListed,
+    ZonesDrained,
     read_clock,
 )
 from cornelgap.forwarding.fetcher import FETCHER, Fetch, SnapshotFetched
@@ -141,6 +142,7 @@
             TargetsListed: self._take_list,
             TargetsChanged: self._take_changes,
             Tick: self._tick,
+            ZonesDrained: self._take_drained,
         }
 
     @staticmethod
@@ -176,6 +178,16 @@
             directory_log.log_routes(directory, 'store', self._turn_at)
         self._spread(changed)
 
+    def _take_drained(self, fact):
+        if self._adopt_drained(fact.zones, fact.revision, 'store'):
+            self._spread(changed=True)
+
+    def _adopt_drained(self, zones, revision, origin):
+        changed = self._directory.adopt_drained(zones, revision, self._turn_at)
+        if changed:
+            directory_log.log_drained(self._directory, origin)
+        return changed
+
     def _take_list(self, fact):
         changed = self._directory.adopt_targets(
             fact.targets, fact.revision, fact.as_of, self._turn_at
@@ -232,7 +244,10 @@
 
     def _compare(self, beat, changes):
         """Take from a beat what it says of the directory."""
+        drained = self._directory.drained_zones
         news = compare_beat(self._directory, beat, changes, self._turn_at)
+        if self._directory.drained_zones != drained:
+            directory_log.log_drained(self._directory, beat.name)
         if News.BEHIND in news:
             fetch = Fetch(beat.host, self._beats.key)
             tell_service(self.scope, FETCHER, fetch)
@@ -245,6 +260,9 @@
         snapshot = message.snapshot
         directory = self._directory
         now = self._turn_at
+        drained_changed = self._adopt_drained(
+            snapshot.drained_zones, snapshot.drained_revision, message.host
+        )
         changed = directory.adopt_routes(
             snapshot.routes,
             snapshot.routes_revision,
@@ -260,7 +278,7 @@
         )
         if targets_changed:
             directory_log.log_targets(directory, message.host)
-        self._spread(changed or targets_changed)
+        self._spread(drained_changed or changed or targets_changed)
 
     def _give_snapshot(self, _message):
         if self._beats.key is None or not self._directory.complete:
@@ -438,10 +456,12 @@
             'directory_revision': {
                 'routes': directory.routes_revision,
                 'targets': directory.targets_revision,
+                'drained_zones': directory.drained_revision,
             },
             'targets': len(directory.list_targets()),
             'follows_store': int(self._following.active),
             'instances': self._neighbours.count_zone(),
+            'zone_drained': dict.fromkeys(directory.drained_zones, 1),
         }
         if directory.complete:
             age = directory.compute_age(self._turn_at)
--- a/cornelgap/forwarding/directory_log.py
+++ b/cornelgap/forwarding/directory_log.py
@@ -23,6 +23,18 @@
     )
 
 
+def log_drained(directory, origin):
+    """Log that other zones than before are drained."""
+    _LOG.info(
+        'directory: drained zones changed',
+        extra={
+            'from': origin,
+            'revision': directory.drained_revision,
+            'zones': sorted(directory.drained_zones),
+        },
+    )
+
+
 def log_targets(directory, origin):
     """Log that a list of targets was adopted."""
     _LOG.info(
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -12,7 +12,7 @@
 from cornelgap.decisions.flow_health import select_pool
 from cornelgap.decisions.target_choice import Candidate, choose_target
 from cornelgap.forwarding import packets as pkt
-from cornelgap.forwarding.directory import View, takes_flows
+from cornelgap.forwarding.directory import View
 from cornelgap.forwarding.flow_evidence import FlowEvidence
 from cornelgap.forwarding.flows import FlowTable
 from cornelgap.forwarding.lifetimes import is_gone, list_reborn
@@ -210,31 +210,42 @@
                 return Drop(Reason.NOT_FRESH)
             return Reset(packet.ack, Reason.NO_ROUTE)
         known = self.flows.find(packet.flow)
-        if is_early_copy(packet, known, now):
+        early = is_early_copy(packet, known, now)
+        tried = () if early else self._note_copy(packet, known, now)
+        if early or (tried and packet.ack < MOVING_COPY):
             target = self.view.by_cookie.get(known.cookie)
-            if target is not None:
-                return Forward(target, Reason.PLACED)
-        tried = self._note_copy(packet, known, now)
-        if tried and packet.ack < MOVING_COPY:
-            target = self.view.by_cookie.get(known.cookie)
-            if self._may_open_on(target, now):
+            if self._may_open_on(target, early, now):
                 return Forward(target, Reason.PLACED)
         target = self._place(route, packet, tried, now)
         if target is None:
-            if now > self.fresh_until:
-                return Drop(Reason.NOT_FRESH)
-            return Reset(packet.ack, Reason.NO_TARGET)
+            return self._refuse_opening(route, packet, now)
         self.flows.note_open(packet.flow, target.cookie, now)
         return Forward(target, Reason.MOVED_ON if tried else Reason.PLACED)
 
-    def _may_open_on(self, target, now):
+    def _refuse_opening(self, route, packet, now):
+        """Answer an opening for which there is no target.
+
+        That a zone is drained is known however old the news is.
+        """
+        services = [service for service, _ in route.shares]
+        drained = self.view.drained_services.intersection(services)
+        if now > self.fresh_until and not drained:
+            return Drop(Reason.NOT_FRESH)
+        return Reset(packet.ack, Reason.NO_TARGET)
+
+    def _may_open_on(self, target, early, now):
         """Say whether a copy may go to the target that got the first SYN.
 
         A probe of a zone that is away moves on with its first copy; its
         caller would otherwise wait 0.6 s instead of 0.2 s.
+
+        :param target: None if it is not in the directory.
+        :param early: whether the target has had no time to answer.
         """
-        if target is None or not takes_flows(target):
+        if target is None or not self.view.takes_flows(target):
             return False
+        if early:
+            return True
         if self.judge.is_away(target.zone):
             return False
         return not self.judge.is_avoided(target.cookie, now)
@@ -255,7 +266,7 @@
         pools = (
             self._select_trusted(targets, avoided, now) for targets in listed
         )
-        targets = select_pool(pools, chosen)
+        targets = select_pool(pools, self._list_last(first, chosen, avoided))
         # A target that did not answer two copies is full or unreachable; the
         # next one opens elsewhere while its caller still waits.
         untried = [item for item in targets if item.cookie not in tried]
@@ -264,6 +275,16 @@
         ]
         return choose_target(candidates, self._estimate_poured(now), self._rng)
 
+    def _list_last(self, service, targets, avoided):
+        """Return the targets to take where none is trusted.
+
+        Where an operator has drained the zones in reach, what is left lies
+        beyond a cut.  The caller is better told at once than left waiting.
+        """
+        if service not in self.view.drained_services:
+            return targets
+        return [target for target in targets if target.zone not in avoided]
+
     def _list_targets(self, service):
         targets = self.view.by_service.get(service)
         if not targets:
--- a/cornelgap/forwarding/facts.py
+++ b/cornelgap/forwarding/facts.py
@@ -22,6 +22,16 @@
     as_of: float
 
 
+class ZonesDrained(Struct, frozen=True):
+    """Message: all zones that operators have ordered to be drained.
+
+    :param revision: store revision as of which these are all.
+    """
+
+    zones: frozenset
+    revision: int
+
+
 class TargetsListed(Struct, frozen=True):
     """Message: all targets as of some moment.
 
--- a/cornelgap/forwarding/metric_page.py
+++ b/cornelgap/forwarding/metric_page.py
@@ -61,6 +61,12 @@
         GAUGE,
         'Registered targets.',
     ),
+    Metric(
+        f'{_PREFIX}zone_drained',
+        GAUGE,
+        '1 for each zone whose targets get no new flow by an order.',
+        ('zone',),
+    ),
     Metric(
         f'{_PREFIX}follows_store',
         GAUGE,
--- a/cornelgap/forwarding/news.py
+++ b/cornelgap/forwarding/news.py
@@ -24,9 +24,10 @@
         which takes in confirmations and changes.
     :param beat: :class:`~cornelgap.forwarding.peer_messages.Beat`.
     :param changes: the beat's changes of targets, loaded.
-    :returns: set of :class:`News`, one of routes and one of targets.
+    :returns: set of :class:`News`, one for each kind of facts.
     """
     return {
+        compare_drained(directory, beat, now),
         _compare_routes(directory, beat, now),
         _compare_targets(directory, beat, changes, now),
     }
@@ -43,6 +44,14 @@
     return News.CONFIRMED
 
 
+def compare_drained(directory, beat, now):
+    """Take the orders to drain zones, which each beat holds in full."""
+    changed = directory.adopt_drained(
+        beat.drained_zones, beat.drained_revision, now
+    )
+    return News.CHANGED if changed else News.NONE
+
+
 def _compare_targets(directory, beat, changes, now):
     if beat.targets_age is None:
         return News.NONE
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -56,6 +56,9 @@
         if it knows none.
     :param targets_revision: store revision up to which it knows all targets.
     :param targets_changed: revision of the last change of a target.
+    :param drained_zones: names of the zones that operators drain.
+    :param drained_revision: store revision as of which these are all; 0 if
+        the sender does not tell.
     :param since: with ``changes``: revision that these follow on.
     :param changes: what :func:`dump_change` gives.
     :param loads: flows by cookie that the sender has seen.
@@ -85,6 +88,8 @@
     targets_revision: int = 0
     targets_changed: int = 0
     targets_age: float | None = None
+    drained_zones: list = field(default_factory=list)
+    drained_revision: int = 0
     since: int = 0
     changes: list = field(default_factory=list)
     loads: dict = field(default_factory=dict)
@@ -109,6 +114,7 @@
     'routes_revision',
     'targets_revision',
     'targets_changed',
+    'drained_revision',
     'since',
 )
 
@@ -224,6 +230,8 @@
             [route.name, route.address, route.port, route.shares]
             for route in directory.list_routes()
         ],
+        'drained_zones': sorted(directory.drained_zones),
+        'drained_revision': directory.drained_revision,
         'targets_revision': directory.targets_revision,
         'targets_changed': directory.targets_changed,
         'targets_age': now - directory.targets_as_of,
@@ -245,6 +253,8 @@
     targets_changed: int
     targets_age: float
     targets: dict
+    drained_zones: frozenset = frozenset()
+    drained_revision: int = 0
 
 
 def unpack_snapshot(raw, now, key):
@@ -269,6 +279,8 @@
             content['targets_changed'],
             content['targets_age'],
             {name: (target, revision) for name, target, revision in changes},
+            frozenset(map(str, content.get('drained_zones', ()))),
+            int(content.get('drained_revision', 0)),
         )
     except _MALFORMED as exc:
         raise CodedError(Code.PKT_FIELD, repr(exc), 'snapshot') from exc
@@ -328,6 +340,7 @@
     )
     lists = (
         isinstance(beat.changes, list)
+        and _are_texts(beat.drained_zones)
         and _are_members(beat.members)
         and _are_evidence(beat)
     )
@@ -335,11 +348,17 @@
         raise CodedError(Code.PKT_FIELD, 'a field of another type', 'beat')
 
 
+def _are_texts(found):
+    return isinstance(found, list) and all(
+        isinstance(text, str) for text in found
+    )
+
+
 def _are_members(members):
     return isinstance(members, list) and all(
         isinstance(item, list)
         and len(item) == 4
-        and all(isinstance(text, str) for text in item[:3])
+        and _are_texts(item[:3])
         and isinstance(item[3], int)
         for item in members
     )
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -17,6 +17,10 @@
 TARGETS_KIND = 'servers'
 """The store's word for targets."""
 
+DRAINED_KIND = 'evacuations'
+"""The store's word for orders to drain a zone; an entry's name is the zone,
+and the order holds for as long as the entry is there."""
+
 DRAINING = 'draining'
 _STATES = ('ready', DRAINING)
 
@@ -75,6 +79,26 @@
     )
 
 
+def load_drained_zones(items):
+    """Load the orders to drain zones.
+
+    An entry holds whatever it says, and also while it is being deleted: the
+    operator takes an order back by removing it.
+
+    :param items: objects of the kind of these orders.
+    :returns: tuple (frozenset of zones, list of :class:`CodedError`).
+    """
+    zones = set()
+    errors = []
+    for item in items:
+        try:
+            zones.add(check_text(item['meta']['name']))
+        except _MALFORMED as exc:
+            place = f'{DRAINED_KIND}/?'
+            errors.append(CodedError(Code.CFG_BAD_VALUE, repr(exc), place))
+    return frozenset(zones), errors
+
+
 class Registration(Struct, frozen=True):
     """One entry of the kind of targets, as far as it can be read.
 
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -1,10 +1,10 @@
 """What the store holds, as messages for the directory.
 
-Each call of the store costs, so one watch serves both kinds of facts.  It
+Each call of the store costs, so one watch serves all kinds of facts.  It
 waits for changes of targets; its answer also bears the store's revision,
 which counts every change of any kind.  If all changes since the last
-answer were changes of targets that it has told, the configuration cannot
-have changed; otherwise one more call reads it.
+answer were changes of targets that it has told, nothing else can have
+changed; otherwise orders to drain zones and the configuration are read.
 """
 
 import logging
@@ -14,6 +14,7 @@
     RoutesKnown,
     TargetsChanged,
     TargetsListed,
+    ZonesDrained,
     read_clock,
 )
 from cornelgap.platform import objects
@@ -38,7 +39,7 @@
         """Know no revision yet."""
         self._client = client
         self._revision = 0
-        self._routes_revision = 0
+        self._policy_revision = 0
         self._logged = set()
 
     def list_facts(self):
@@ -53,6 +54,7 @@
         :raises StoreError: if a call brought no answer.
         """
         sent = read_clock()
+        is_first = not self._revision
         listing = self._client.list_objects(objects.TARGETS_KIND)
         self._revision = listing.revision
         targets = {}
@@ -62,7 +64,7 @@
                 name, target, revision = found
                 targets[name] = (target, revision)
         yield TargetsListed(targets, listing.revision, sent)
-        yield self._read_routes()
+        yield from self._read_policy(stale=is_first)
 
     def watch_facts(self, wait_s):
         """Wait for changes.
@@ -83,19 +85,36 @@
         told = {revision for _, _, revision in changes}
         self._revision = max(found.revision, self._revision)
         changed = TargetsChanged(changes, found.revision, as_of)
-        if is_explained(self._routes_revision, found.revision, told):
-            self._routes_revision = found.revision
+        if is_explained(self._policy_revision, found.revision, told):
+            self._policy_revision = found.revision
             return [RoutesKnown(None, 0, as_of), changed]
-        return [self._read_routes(), changed]
+        return [*self._read_policy(), changed]
 
     def close(self):
         """Close the connection."""
         self._client.close()
 
+    def _read_policy(self, stale=False):
+        """Read what operators have ordered.
+
+        The drained zones come first: an instance that knows routes and
+        targets begins to place flows.  Each start reads them once, so that
+        an old answer has to do there; it bears an old revision, and beats of
+        other instances or the first watch bring what has come since.
+        """
+        listing = self._client.list_objects(objects.DRAINED_KIND, stale)
+        zones, errors = objects.load_drained_zones(listing.objects)
+        self._log_errors(errors)
+        # A listing without any object may state no revision.
+        revision = listing.revision or self._revision
+        yield ZonesDrained(zones, revision)
+        yield self._read_routes()
+        # A zone may have been drained while the routes were read.
+        self._policy_revision = revision
+
     def _read_routes(self):
         sent = read_clock()
         listing = self._client.list_objects(objects.CONFIG_KIND)
-        self._routes_revision = listing.revision
         main = [
             item
             for item in listing.objects
--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -87,16 +87,22 @@
         """Make a client of the store that the settings name."""
         return cls(settings.store)
 
-    def list_objects(self, kind):
+    def list_objects(self, kind, stale=False):
         """List all objects of a kind, however many pages that takes.
 
+        :param stale: whether an answer that is seconds old will do; it costs
+            a tenth.
         :raises StoreError: if a page brought no answer.
         """
         objects = []
-        query = {}
+        fixed = {'allow_stale': 1} if stale else {}
+        query = fixed
         first_revision = None
         for _ in range(MAX_PAGES):
             body = self._call('GET', kind, query)
+            if body is None:
+                # No object of this kind was ever made.
+                return Listing(objects, first_revision or 0)
             page = body.get('items') or []
             objects += page
             if first_revision is None:
@@ -105,7 +111,7 @@
                 first_revision = body['store_revision']
             if not body.get('more') or not page:
                 return Listing(objects, first_revision)
-            query = {'after': _find_last_name(page)}
+            query = {**fixed, 'after': _find_last_name(page)}
         raise StoreError('the listing does not end', answered=True)
 
     def read_object(self, kind, name, stale=False):
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -111,3 +111,38 @@
   Scenario: Bytes that are no text hide no target
     One entry holds bytes that are no text, or a number without an end.
     Then an answer with such bytes in one entry is read
+
+  Scenario: An order to drain a zone is heard from the revision alone
+    The watch waits for targets only.  Were its revision not compared, flows
+    would be opened in the zone until its machines are taken away.
+    Given a store with 3 targets that lists 10 objects a page
+    When a source lists it
+    Then no zone is drained, and that is told before the routes are
+    When an operator drains zone "b"
+    Then the next watch tells that zone "b" is drained
+    When an operator takes zone "b" back
+    Then the next watch tells that no zone is drained
+
+  Scenario: A zone is drained while the routes are read
+    The orders were listed a moment before.  Taken for explained by the
+    later answer, the order would never be heard.
+    Given a store with 3 targets that lists 10 objects a page
+    When an operator drains zone "b" while a source reads the routes
+    Then the next watch tells that zone "b" is drained
+
+  Scenario: An instance has read old orders at its start
+    Each instance reads them once a start, from a replica that may be seconds
+    behind.  Believed for good, an order of just before would be missed.
+    Given a store with 3 targets that lists 10 objects a page
+    When an operator drains zone "b" and a replica does not know it yet
+    And a source lists it
+    Then its first call for orders was content with an old answer
+    And the next watch tells that zone "b" is drained
+
+  Scenario: An order holds whatever its entry says
+    Its name is the zone.  An entry that is being deleted is in force, too;
+    one whose name cannot be read hides no other.
+    Given a store with 3 targets that lists 10 objects a page
+    When odd orders to drain zones are written
+    And a source lists it
+    Then the zones of the orders that have names are drained
--- a/features/proofs/forwarding_desk.py
+++ b/features/proofs/forwarding_desk.py
@@ -79,6 +79,14 @@
         self.directory.adopt_routes(routes, revision, self.now)
         self.show()
 
+    def drain_zones(self, *zones, revision=None):
+        """Let the store tell which zones operators drain, as of now."""
+        if revision is None:
+            self.revision += 1
+            revision = self.revision
+        self.directory.adopt_drained(zones, revision, self.now)
+        self.show()
+
     def set_targets(self, *targets, revision=None):
         """Let the store list targets, as of now."""
         if revision is None:
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -12,11 +12,13 @@
     engine,
     lifetimes,
     neighbours,
+    news,
     packet_checks,
     peer_messages,
     request_watch,
     target_judge,
 )
+from cornelgap.forwarding.packets import Drop, Reason, Reset
 from cornelgap.platform import layout, objects, sources
 
 
@@ -258,7 +260,60 @@
     patches.replace_function(packet_checks.order_services, order_services)
 
 
+def open_in_drained_zones(patches):
+    patches.replace_function(
+        directory.is_zone_open, lambda zone, drained_zones: True
+    )
+
+
+def wait_in_drained_zones(patches):
+    def refuse_opening(self, route, packet, now):
+        if now > self.fresh_until:
+            return Drop(Reason.NOT_FRESH)
+        return Reset(packet.ack, Reason.NO_TARGET)
+
+    patches.set_attr(engine.Engine, '_refuse_opening', refuse_opening)
+
+
+def wait_beyond_cuts(patches):
+    patches.set_attr(
+        engine.Engine,
+        '_list_last',
+        lambda self, service, targets, avoided: targets,
+    )
+
+
+def skip_told_drains(patches):
+    patches.replace_function(
+        news.compare_drained, lambda directory, beat, now: news.News.NONE
+    )
+
+
 LIST = (
+    (
+        'zone-drained',
+        8,
+        'a zone that operators drain gets no new flow',
+        open_in_drained_zones,
+    ),
+    (
+        'drained-refused',
+        8,
+        'an opening that only drained zones could take is refused at once',
+        wait_in_drained_zones,
+    ),
+    (
+        'drained-beyond-cut',
+        8,
+        'where zones in reach are drained nobody waits beyond a cut',
+        wait_beyond_cuts,
+    ),
+    (
+        'drains-told',
+        5,
+        'instances tell each other which zones are drained',
+        skip_told_drains,
+    ),
     (
         'copies-pinned',
         1,
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -14,6 +14,7 @@
     RoutesKnown,
     TargetsChanged,
     TargetsListed,
+    ZonesDrained,
 )
 from cornelgap.forwarding.follower import (
     GATHER_S,
@@ -475,3 +476,85 @@
     except ValueError:
         return
     raise AssertionError('nesting without an end was read')
+
+
+@then('no zone is drained, and that is told before the routes are')
+def check_no_drain(context):
+    kinds = [type(fact) for fact in context.facts]
+    assert kinds.index(ZonesDrained) < kinds.index(RoutesKnown)
+    assert not pick(context.facts, ZonesDrained).zones
+
+
+@when('an operator drains zone "{zone}"')
+def order_drain(context, zone):
+    context.store.put('evacuations', zone, {})
+
+
+@when('an operator takes zone "{zone}" back')
+def take_back(context, zone):
+    context.store.remove('evacuations', zone)
+
+
+@then('the next watch tells that zone "{zone}" is drained')
+def check_drain(context, zone):
+    facts = list(context.source.watch_facts(WAIT_S))
+    assert pick(facts, ZonesDrained).zones == {zone}
+
+
+@then('the next watch tells that no zone is drained')
+def check_taken_back(context):
+    facts = list(context.source.watch_facts(WAIT_S))
+    assert not pick(facts, ZonesDrained).zones
+
+
+@when('an operator drains zone "{zone}" while a source reads the routes')
+def drain_meanwhile(context, zone):
+    right = context.store.list
+
+    def list_kind(kind, after):
+        if kind == 'config':
+            context.store.list = right
+            order_drain(context, zone)
+        return right(kind, after)
+
+    context.store.list = list_kind
+    list_all(context)
+    assert not pick(context.facts, ZonesDrained).zones
+
+
+@when('an operator drains zone "{zone}" and a replica does not know it yet')
+def drain_behind(context, zone):
+    right = context.client.list_objects
+    old = context.client.list_objects('evacuations')
+    order_drain(context, zone)
+    context.stale = []
+
+    def list_objects(kind, stale=False):
+        context.stale.append((kind, stale))
+        return old if stale else right(kind)
+
+    context.client.list_objects = list_objects
+
+
+@then('its first call for orders was content with an old answer')
+def check_stale_orders(context):
+    assert context.stale == [
+        ('servers', False),
+        ('evacuations', True),
+        ('config', False),
+    ], context.stale
+    assert not pick(context.facts, ZonesDrained).zones
+
+
+@when('odd orders to drain zones are written')
+def write_odd_orders(context):
+    context.store.put('evacuations', 'a', {'until': 'never'})
+    context.store.put('evacuations', 'no-such-zone', None)
+    context.store.put('evacuations', 'b', {})['meta']['deleting'] = True
+    context.store.put('evacuations', 'c', {})['meta']['name'] = 7
+
+
+@then('the zones of the orders that have names are drained')
+def check_odd_orders(context):
+    zones = pick(context.facts, ZonesDrained).zones
+    assert zones == {'a', 'b', 'no-such-zone'}, zones
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -3,6 +3,7 @@
 from behave import step, then, when
 
 from features.proofs import (
+    drain_stories,
     forwarding_stories,
     grey_stories,
     guards,
@@ -19,6 +20,7 @@
     forwarding_stories,
     zone_stories,
     grey_stories,
+    drain_stories,
 )
 
 
