Reset idle flows of a target that has gone before their callers send

Cause: when a target fell silent or its registration lapsed, only flows with a request outstanding were reset, the others with their next packet.

Change: on the same verdicts as before all flows that this instance knows on the target are reset at once. A flow that has sent nothing for 5 s no longer counts as load, but is kept in mind for 30 s. No new verdict resets anything: a target that answers, one whose lapse may be the store's fault and flows that their callers have closed are left alone.

Ruled out: resets of flows in a zone that is away, since two of its targets may have crashed while the third is well; flows of a target that started again under its name, since one may be open on the new lifetime.

--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -77,6 +77,7 @@
         self._opens = Average(OPEN_SHARE)
         self._opens_second = 0
         self._opens_count = 0
+        self._just_gone = set()
         self.judge = TargetJudge()
         self._evidence = FlowEvidence(self.flows, self.judge)
 
@@ -86,6 +87,7 @@
             self.judge.forget(cookie)
             self.flows.end_target(cookie)
             self._others.pop(cookie, None)
+        self._just_gone |= view.gone.keys() - self.view.gone.keys()
         self.view = view
         self.judge.keep(view.by_cookie.keys())
         self._evidence.keep_routes(view.routes.keys())
@@ -97,18 +99,27 @@
         if as_of >= self._distrusted_at:
             self._distrusted_at = float('-inf')
 
-    def give_up_silent(self, now):
+    def reset_lost(self, now):
         """Return tuples (flow key, its :class:`Reset`) that are due now.
 
-        Callers that wait for a target which has just fallen silent would
-        otherwise learn it only with their next repeat, after up to 0.8 s.
+        The flows of a target that has just fallen silent or ended are lost.
+        Callers that wait would learn it with their next repeat, after up to
+        0.8 s; those that do not would send their next request to nobody,
+        and one that must not run twice is lost for them with that.
         """
-        fresh = self.judge.find_fresh_silent(self.flows.loads, now)
-        if not fresh:
+        silent = self.judge.find_fresh_silent(self.flows.loads, now)
+        gone, self._just_gone = self._just_gone, set()
+        lost = {cookie: Reason.TARGET_SILENT for cookie in silent}
+        lost.update(
+            (cookie, Reason.TARGET_GONE)
+            for cookie in gone
+            if not self._is_answering(cookie, now)
+        )
+        if not lost:
             return []
         return [
-            (key, Reset(acked, Reason.TARGET_SILENT))
-            for key, acked in self.flows.list_waiting(fresh)
+            (key, Reset(acked, lost[cookie]))
+            for key, cookie, acked in self.flows.list_held(lost)
         ]
 
     def name_silent(self):
@@ -194,6 +205,9 @@
         """Forget flows that were not seen lately."""
         self.flows.expire(now)
 
+    def _is_answering(self, cookie, now):
+        return now - self.flows.get_load(cookie).answered_at < ALIVE_S
+
     def _name_targets(self, cookies):
         found = map(self.view.by_cookie.get, cookies)
         return sorted(target.name for target in found if target is not None)
@@ -354,8 +368,7 @@
         if packet.flags & pkt.RST:
             return Drop(Reason.TARGET_GONE)
         target = self.view.gone.get(cookie)
-        answered_at = self.flows.get_load(cookie).answered_at
-        if target is not None and now - answered_at < ALIVE_S:
+        if target is not None and self._is_answering(cookie, now):
             # It answers, so only its registration is lost: a target that is
             # cut off from the store alone still serves its flows.
             self._evidence.note_packet(packet, cookie, None, now)
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -8,6 +8,7 @@
 """
 
 from collections import OrderedDict
+from itertools import chain
 
 from msgspec import Struct
 
@@ -16,8 +17,13 @@
 long flows send about one request a second; a flow whose packets now pass
 through another instance leaves the count after this time."""
 
+KEPT_S = 30.0
+"""Time for which a flow that sends nothing is kept in mind.  Targets close
+idle flows after some seconds, and ports are not used again so soon."""
+
 MAX_FLOWS = 65536
-"""Flows kept, the least recently seen leave first: about 25 MB at most."""
+"""Flows kept, the least recently seen leave first: about 25 MB at most; and
+as many idle ones, about 15 MB."""
 
 
 class Flow(Struct):
@@ -54,6 +60,17 @@
     closed: bool = False
 
 
+class IdleFlow(Struct, frozen=True):
+    """What is kept of a flow that has sent nothing lately.
+
+    :param acked: the caller's last acknowledgement.
+    """
+
+    cookie: int
+    acked: int
+    seen_at: float
+
+
 class Load(Struct):
     """Work on one target as seen by this instance.
 
@@ -73,6 +90,7 @@
     def __init__(self):
         """Know no flow."""
         self._flows = OrderedDict()
+        self._idle = OrderedDict()
         self.loads = {}
 
     def __len__(self):
@@ -98,12 +116,20 @@
             if load.flows
         }
 
-    def list_waiting(self, cookies):
-        """Return (key, last acknowledgement) of flows that wait for targets."""
+    def list_held(self, cookies):
+        """Return (key, cookie, last acknowledgement) of flows on targets."""
+        open_flows = chain(
+            (
+                (key, flow)
+                for key, flow in self._flows.items()
+                if flow.pinned and not flow.closed
+            ),
+            self._idle.items(),
+        )
         return [
-            (key, flow.acked)
-            for key, flow in self._flows.items()
-            if flow.waiting_since and flow.cookie in cookies
+            (key, flow.cookie, flow.acked)
+            for key, flow in open_flows
+            if flow.cookie in cookies
         ]
 
     def note_open(self, key, cookie, now):
@@ -139,13 +165,19 @@
         return flow
 
     def expire(self, now):
-        """Drop flows that were not seen lately."""
-        oldest = now - ACTIVE_S
+        """Drop flows that were not seen lately; open ones count as idle."""
         while self._flows:
-            key = next(iter(self._flows))
-            if self._flows[key].seen_at >= oldest:
-                return
+            key, flow = next(iter(self._flows.items()))
+            if flow.seen_at >= now - ACTIVE_S:
+                break
             self._drop(key)
+            if flow.pinned and not flow.closed:
+                self._keep_idle(key, flow)
+        while self._idle:
+            key, idle = next(iter(self._idle.items()))
+            if idle.seen_at >= now - KEPT_S:
+                break
+            self._idle.pop(key)
 
     def end_target(self, cookie):
         """Note that a target holds nothing of before any more.
@@ -158,6 +190,11 @@
                 self._leave(flow)
                 flow.closed = True
         self.loads.pop(cookie, None)
+        ended = [
+            key for key, idle in self._idle.items() if idle.cookie == cookie
+        ]
+        for key in ended:
+            self._idle.pop(key)
 
     def keep_loads(self, cookies):
         """Forget idle targets that are not among these."""
@@ -168,11 +205,17 @@
     def _add(self, key, cookie, now):
         if len(self._flows) >= MAX_FLOWS:
             self._drop(next(iter(self._flows)))
+        self._idle.pop(key, None)
         flow = Flow(cookie, now, now)
         self._flows[key] = flow
         self.get_load(cookie).flows += 1
         return flow
 
+    def _keep_idle(self, key, flow):
+        if len(self._idle) >= MAX_FLOWS:
+            self._idle.popitem(last=False)
+        self._idle[key] = IdleFlow(flow.cookie, flow.acked, flow.seen_at)
+
     def _touch(self, key, flow, now):
         flow.seen_at = now
         self._flows.move_to_end(key)
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -188,6 +188,7 @@
     def _adopt_view(self, message):
         if message.view is not None:
             self._engine.adopt_view(message.view)
+            self._reset_lost()
         self._engine.note_fresh(message.as_of)
         if not self._reading:
             self._begin_reading()
@@ -227,10 +228,10 @@
         evidence = self._engine.judge.take_evidence()
         if evidence:
             self._tell(EvidenceSeen(evidence))
-            self._give_up_silent()
+            self._reset_lost()
 
-    def _give_up_silent(self):
-        due = self._engine.give_up_silent(self._turn_at)
+    def _reset_lost(self):
+        due = self._engine.reset_lost(self._turn_at)
         self._log_beliefs()
         for key, reset in due:
             self.counts[reset.reason] += 1
@@ -349,7 +350,7 @@
         )
         if alive:
             self._tell(EvidenceSeen(Evidence(answers=alive)))
-        self._give_up_silent()
+        self._reset_lost()
 
     def _tell(self, message):
         tell_service(self.scope, self._receiver, message)
@@ -367,7 +368,7 @@
         self._engine.note_overdue(self._turn_at)
         self._engine.expire(self._turn_at)
         self._tell_evidence()
-        self._give_up_silent()
+        self._reset_lost()
         loads = self._engine.flows.count_flows()
         self._tell(LoadSeen(loads, self._engine.judge.take_outcomes()))
 
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -10,6 +10,7 @@
 from cornelgap.forwarding import (
     directory,
     engine,
+    flows,
     lifetimes,
     neighbours,
     news,
@@ -289,6 +290,21 @@
     )
 
 
+def let_idle_flows_wait(patches):
+    patches.set_attr(flows, 'KEPT_S', 0)
+
+
+def reset_waiting_only(patches):
+    def list_held(self, cookies):
+        return [
+            (key, flow.cookie, flow.acked)
+            for key, flow in self._flows.items()
+            if flow.waiting_since and flow.cookie in cookies
+        ]
+
+    patches.set_attr(flows.FlowTable, 'list_held', list_held)
+
+
 LIST = (
     (
         'zone-drained',
@@ -314,6 +330,18 @@
         'instances tell each other which zones are drained',
         skip_told_drains,
     ),
+    (
+        'idle-kept',
+        10,
+        'idle flows of a lost target are kept in mind',
+        let_idle_flows_wait,
+    ),
+    (
+        'idle-reset',
+        10,
+        'idle flows of a lost target are reset before they send',
+        reset_waiting_only,
+    ),
     (
         'copies-pinned',
         1,
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -7,6 +7,7 @@
     forwarding_stories,
     grey_stories,
     guards,
+    lost_flow_stories,
     part_stories,
     stories,
     world_stories,
@@ -21,6 +22,7 @@
     zone_stories,
     grey_stories,
     drain_stories,
+    lost_flow_stories,
 )
 
 
