Bound the flows that a cold target gets from all instances together

Change: `decisions/cold_starts.py`. Only a few owners, instances of the target's own zone by rendezvous rank, open flows on a cold target, each its part of half the budget in any second. The names of a minute count, so that an instance that is cut off takes nobody's part over, and an instance owns nothing in its first three seconds. A zone that is taken back counts as cold for its services' warm-up time, since registrations tell later. Where all targets are cold and spent, the SYN is dropped and its copy finds room. No bound where the platform's settings name none.

Ruled out: none while warm ones are left (a service that has only cold ones would stand still or break the bound); a part for each instance by their number (0 for 29 instances and 5 flows); no bound, as before: guard "cold-owners".

--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -58,6 +58,17 @@
     born: int = 0
 
 
+class Warmup(Struct, frozen=True):
+    """How the targets of a service warm up after a start.
+
+    :param seconds: how long a target is cold.
+    :param per_s: new flows a second that a cold target bears.
+    """
+
+    seconds: float = 0
+    per_s: float = 0
+
+
 class Unreadable:
     """Stands for the target of an entry that names none."""
 
@@ -81,6 +92,9 @@
     :param drained_zones: zones whose targets get no new flow, by order of an
         operator.
     :param drained_services: services that have targets in these zones.
+    :param warmups: :class:`Warmup` by service.
+    :param returned: time by zone until which all its targets count as cold,
+        since an order has been taken back.
     """
 
     routes: dict = field(default_factory=dict)
@@ -92,6 +106,8 @@
     fallback: dict = field(default_factory=dict)
     drained_zones: frozenset = frozenset()
     drained_services: frozenset = frozenset()
+    warmups: dict = field(default_factory=dict)
+    returned: dict = field(default_factory=dict)
 
     def find(self, cookie):
         """Return the target of a cookie, registered or not, or None."""
@@ -103,6 +119,16 @@
             target.zone, self.drained_zones
         )
 
+    def is_cold(self, target, now):
+        """Say whether a target may be cold.
+
+        Targets of a zone that was drained may have started anew meanwhile;
+        their registrations tell of it a heartbeat later.
+        """
+        if now < target.cold_until:
+            return True
+        return now < self.returned.get(target.zone, now)
+
 
 def make_cookie(identity):
     """Fold a target's number into the 32 bits that packets carry.
@@ -180,6 +206,8 @@
         self.targets_as_of = None
         self.drained_revision = 0
         self.drained_zones = frozenset()
+        self.warmups = {}
+        self._returned = {}
         self._routes = {}
         self._dropped = set()
         self._targets = {}
@@ -193,10 +221,11 @@
         """Say whether both routes and targets have been learnt."""
         return self.routes_as_of is not None and self.targets_as_of is not None
 
-    def adopt_routes(self, routes, revision, as_of):
+    def adopt_routes(self, routes, revision, as_of, warmups=None):
         """Put a whole configuration in force if it is newer.
 
         :param routes: iterable of :class:`Route`.
+        :param warmups: :class:`Warmup` by service; None if it is not told.
         :returns: whether anything changed.
         """
         self.routes_as_of = max(as_of, self.routes_as_of or as_of)
@@ -207,6 +236,8 @@
         self._dropped |= self._routes.keys()
         self._dropped -= fresh.keys()
         self._routes = fresh
+        if warmups is not None:
+            self.warmups = warmups
         return True
 
     def adopt_drained(self, zones, revision, now):
@@ -222,6 +253,11 @@
         drained = frozenset(zones)
         if drained == self.drained_zones:
             return False
+        longest = max(
+            (warmup.seconds for warmup in self.warmups.values()), default=0
+        )
+        for zone in self.drained_zones - drained:
+            self._returned[zone] = now + longest
         self.drained_zones = drained
         return True
 
@@ -318,6 +354,12 @@
             fallback=fallback,
             drained_zones=self.drained_zones,
             drained_services=frozenset(drained_services),
+            warmups=self.warmups,
+            returned={
+                zone: until
+                for zone, until in self._returned.items()
+                if until > now
+            },
         )
 
     def next_change(self, now):
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -40,6 +40,7 @@
     LoadSeen,
     OthersEvidence,
     OthersLoad,
+    ZoneMembers,
     ZoneOutcomes,
 )
 from cornelgap.forwarding.sockets import drop_waiting, open_socket
@@ -127,6 +128,7 @@
         self._loads = {}
         self._reported = {}
         self._outcomes = {}
+        self._recent = frozenset()
         self.counts = Counter()
         self.actor_inbox.add_socket(self._sock)
         self.handlers = {
@@ -173,7 +175,9 @@
             directory.confirm_routes(fact.as_of)
             self._spread(changed=False)
             return
-        changed = directory.adopt_routes(fact.routes, fact.revision, fact.as_of)
+        changed = directory.adopt_routes(
+            fact.routes, fact.revision, fact.as_of, fact.warmups
+        )
         if changed:
             directory_log.log_routes(directory, 'store', self._turn_at)
         self._spread(changed)
@@ -267,6 +271,7 @@
             snapshot.routes,
             snapshot.routes_revision,
             message.sent_at - snapshot.routes_age,
+            snapshot.warmups,
         )
         if changed:
             directory_log.log_routes(directory, message.host, now)
@@ -325,6 +330,7 @@
         now = self._turn_at
         neighbours = self._neighbours
         neighbours.expire(now)
+        self._tell_members(now)
         if self._changes_at is not None and now >= self._changes_at:
             self._tell(changed=True)
         self._decide_following(now)
@@ -336,6 +342,13 @@
             self._beat_at = now
             self._send_regular(now)
 
+    def _tell_members(self, now):
+        """Tell the packet actor which instances the zone has."""
+        recent = self._neighbours.list_recent(now)
+        if recent != self._recent:
+            self._recent = recent
+            tell_service(self.scope, FORWARDING, ZoneMembers(recent))
+
     def _learn_from_seeds(self, now):
         """Fetch what a seed knows while the store has not given the key.
 
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -9,10 +9,11 @@
 from itertools import chain
 
 from cornelgap.decisions.averages import Average
+from cornelgap.decisions.cold_starts import ColdStarts
 from cornelgap.decisions.flow_health import select_pool
 from cornelgap.decisions.target_choice import Candidate, choose_target
 from cornelgap.forwarding import packets as pkt
-from cornelgap.forwarding.directory import View
+from cornelgap.forwarding.directory import View, Warmup
 from cornelgap.forwarding.flow_evidence import FlowEvidence
 from cornelgap.forwarding.flows import FlowTable
 from cornelgap.forwarding.lifetimes import is_gone, list_reborn
@@ -56,15 +57,21 @@
 serve its zone on what it knows."""
 
 
+_NO_WARMUP = Warmup()
+
+
 class Engine:
     """Routes packets by a :class:`~cornelgap.forwarding.directory.View`.
 
     :param zone: this instance's availability zone.
     :param rng: generator for choices among equals.
+    :param cold_starts:
+        :class:`~cornelgap.decisions.cold_starts.ColdStarts`.
     """
 
-    def __init__(self, zone, rng):
+    def __init__(self, zone, rng, cold_starts=None):
         """Start without routes and targets: every packet is dropped."""
+        self._cold_starts = cold_starts or ColdStarts('')
         self._zone = zone
         self._rng = rng
         self.view = View()
@@ -90,6 +97,7 @@
         self._just_gone |= view.gone.keys() - self.view.gone.keys()
         self.view = view
         self.judge.keep(view.by_cookie.keys())
+        self._cold_starts.keep(view.by_cookie.keys())
         self._evidence.keep_routes(view.routes.keys())
         self.flows.keep_loads(view.by_cookie.keys())
 
@@ -147,6 +155,10 @@
         self._news_s = pause_s * NEWS_PAUSES
         self.judge.set_instances(instances, rank)
 
+    def note_members(self, names):
+        """Note the names of this zone's instances; empty if not known."""
+        self._cold_starts.set_members(names)
+
     def note_evidence(self, instance, evidence, now):
         """Note what flows through another instance say of targets.
 
@@ -229,19 +241,30 @@
         if early or (tried and packet.ack < MOVING_COPY):
             target = self.view.by_cookie.get(known.cookie)
             if self._may_open_on(target, early, now):
-                return Forward(target, Reason.PLACED)
+                return self._open_on(target, Reason.PLACED, now)
         target = self._place(route, packet, tried, now)
         if target is None:
             return self._refuse_opening(route, packet, now)
         self.flows.note_open(packet.flow, target.cookie, now)
-        return Forward(target, Reason.MOVED_ON if tried else Reason.PLACED)
+        reason = Reason.MOVED_ON if tried else Reason.PLACED
+        return self._open_on(target, reason, now)
+
+    def _open_on(self, target, reason, now):
+        if self.view.is_cold(target, now):
+            self._cold_starts.note_open(target.cookie, now)
+        return Forward(target, reason)
 
     def _refuse_opening(self, route, packet, now):
         """Answer an opening for which there is no target.
 
-        That a zone is drained is known however old the news is.
+        Cold targets have room again within a second, and the caller repeats
+        its SYN in that time.  That a zone is drained is known however old
+        the news is.
         """
         services = [service for service, _ in route.shares]
+        listed = (self.view.by_service.get(name, ()) for name in services)
+        if any(self.view.is_cold(item, now) for item in chain(*listed)):
+            return Drop(Reason.COLD_TARGETS)
         drained = self.view.drained_services.intersection(services)
         if now > self.fresh_until and not drained:
             return Drop(Reason.NOT_FRESH)
@@ -258,12 +281,23 @@
         """
         if target is None or not self.view.takes_flows(target):
             return False
+        if not self._has_room(target, now):
+            return False
         if early:
             return True
         if self.judge.is_away(target.zone):
             return False
         return not self.judge.is_avoided(target.cookie, now)
 
+    def _has_room(self, target, now):
+        """Say whether a target is warm, or may get one more flow if cold."""
+        if not self.view.is_cold(target, now):
+            return True
+        warmup = self.view.warmups.get(target.service, _NO_WARMUP)
+        if target.zone == self._zone:
+            return self._cold_starts.may_open(target.cookie, warmup.per_s, now)
+        return not self._cold_starts.limited
+
     def _note_copy(self, packet, known, now):
         """Return the cookies of targets that did not answer this SYN."""
         if known is None or known.pinned or not packet.ack:
@@ -275,8 +309,10 @@
     def _place(self, route, packet, tried, now):
         first, *others = order_services(route, packet)
         avoided = self.judge.choose_avoided_zones(now)
-        chosen = self._list_targets(first)
-        listed = chain((chosen,), map(self._list_targets, others))
+        chosen = self._list_targets(first, now)
+        listed = chain(
+            (chosen,), (self._list_targets(name, now) for name in others)
+        )
         pools = (
             self._select_trusted(targets, avoided, now) for targets in listed
         )
@@ -299,7 +335,7 @@
             return targets
         return [target for target in targets if target.zone not in avoided]
 
-    def _list_targets(self, service):
+    def _list_targets(self, service, now):
         targets = self.view.by_service.get(service)
         if not targets:
             targets = self.view.fallback.get(service, ())
@@ -307,6 +343,7 @@
             target
             for target in targets
             if self.view.by_cookie.get(target.cookie) is not None
+            and self._has_room(target, now)
         ]
 
     def _select_trusted(self, targets, avoided, now):
@@ -339,7 +376,7 @@
             load.flows + self._others.get(target.cookie, 0),
             load.waiting,
             near=target.zone == self._zone,
-            cold=now < target.cold_until,
+            cold=self.view.is_cold(target, now),
         )
 
     def _carry_on(self, packet, now):
--- a/cornelgap/forwarding/facts.py
+++ b/cornelgap/forwarding/facts.py
@@ -15,11 +15,14 @@
 
     :param routes: list of routes; None if it is the one already known.
     :param as_of: time at which this was the newest, process clock seconds.
+    :param warmups: :class:`~cornelgap.forwarding.directory.Warmup` by
+        service.
     """
 
     routes: list | None
     revision: int
     as_of: float
+    warmups: dict | None = None
 
 
 class ZonesDrained(Struct, frozen=True):
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -47,6 +47,11 @@
 """Seconds between two questions otherwise; they join groups of instances
 that have not heard of each other."""
 
+RECENT_S = 60.0
+"""Time for which an instance counts among those that may open flows on cold
+targets.  An instance that is cut off must go on counting the others for as
+long as they count it, or it would take all of their parts too."""
+
 CROWD = 8
 CROWD_LOAD_S = 1.0
 LOAD_BEAT_S = 0.5
@@ -107,6 +112,7 @@
         self._seeds = [seed for seed in seeds if seed != own.host]
         self._rng = rng
         self._members = {}
+        self._recent = {}
         self._hubs = [own.name]
         self._suspects = set()
         self._far_loads = {}
@@ -147,6 +153,11 @@
         ]
         for name in late:
             self._members.pop(name)
+        self._recent = {
+            name: known_at
+            for name, known_at in self._recent.items()
+            if now - known_at <= RECENT_S
+        }
         self._choose_hubs(now)
 
     @property
@@ -159,6 +170,16 @@
         """Say whether this instance is the hub that sums up loads."""
         return self._hubs[0] == self.name
 
+    def list_recent(self, now):
+        """Return the names of this zone's instances of the last minute.
+
+        :returns: frozenset, empty shortly after the start: few others are
+            known then.
+        """
+        if self._began_at is None or now - self._began_at < SETTLE_S:
+            return frozenset()
+        return frozenset((self.name, *self._recent))
+
     def compute_rank(self):
         """Return how many instances of the zone precede this one."""
         ranked = self._rank()
@@ -312,6 +333,8 @@
             member = Member(name, zone, host, capacity, now)
             self._members[name] = member
         member.known_at = now
+        if zone == self.zone:
+            self._recent[name] = now
         return member
 
     def _list_zone(self):
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -89,6 +89,15 @@
     rank: int = 0
 
 
+class ZoneMembers(Struct, frozen=True):
+    """Message: the instances of this zone.
+
+    :param names: frozenset; empty while too little is known of them.
+    """
+
+    names: frozenset
+
+
 class EvidenceSeen(Struct, frozen=True):
     """Message: what flows through this instance say of targets.
 
@@ -158,6 +167,7 @@
             Readable: self._read,
             ReadCounts: self._give_counts,
             Tick: self._tick,
+            ZoneMembers: self._take_members,
             ZoneOutcomes: self._take_outcomes,
         }
 
@@ -359,6 +369,9 @@
         self._engine.note_zone_outcomes(message.outcomes, self._turn_at)
         self._log_beliefs()
 
+    def _take_members(self, message):
+        self._engine.note_members(message.names)
+
     def _take_others(self, message):
         self._engine.note_others(
             message.loads, message.instances, message.pause_s, message.rank
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -20,6 +20,7 @@
     UNREADABLE,
     Route,
     Target,
+    Warmup,
     make_cookie,
 )
 
@@ -107,7 +108,7 @@
 """Values that a beat leaves out, as its defaults say the same."""
 
 _NO_NUMBERS = (AttributeError, ArithmeticError, TypeError, ValueError)
-_MALFORMED = (zlib.error, KeyError, TypeError, ValueError)
+_MALFORMED = (zlib.error, AttributeError, KeyError, TypeError, ValueError)
 _NUMBERS = (
     'boot',
     'capacity',
@@ -230,6 +231,10 @@
             [route.name, route.address, route.port, route.shares]
             for route in directory.list_routes()
         ],
+        'warmups': {
+            service: [warmup.seconds, warmup.per_s]
+            for service, warmup in directory.warmups.items()
+        },
         'drained_zones': sorted(directory.drained_zones),
         'drained_revision': directory.drained_revision,
         'targets_revision': directory.targets_revision,
@@ -244,7 +249,11 @@
 
 
 class Snapshot(Struct, frozen=True):
-    """All that another instance knows; ages in seconds."""
+    """All that another instance knows; ages in seconds.
+
+    :param warmups: :class:`Warmup` by service; None if it is not told, as
+        by an instance of an earlier version.
+    """
 
     routes_revision: int
     routes_age: float
@@ -253,6 +262,7 @@
     targets_changed: int
     targets_age: float
     targets: dict
+    warmups: dict | None = None
     drained_zones: frozenset = frozenset()
     drained_revision: int = 0
 
@@ -279,6 +289,7 @@
             content['targets_changed'],
             content['targets_age'],
             {name: (target, revision) for name, target, revision in changes},
+            _load_warmups(content.get('warmups')),
             frozenset(map(str, content.get('drained_zones', ()))),
             int(content.get('drained_revision', 0)),
         )
@@ -310,6 +321,15 @@
     return name, target, revision
 
 
+def _load_warmups(content):
+    if content is None:
+        return None
+    return {
+        str(service): Warmup(float(seconds), float(per_s))
+        for service, (seconds, per_s) in content.items()
+    }
+
+
 def _unpack(body):
     if not body.startswith(PACK_MARK):
         return body
--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -8,6 +8,7 @@
 import threading
 import time
 
+from cornelgap.decisions.cold_starts import ColdStarts
 from cornelgap.decisions.following import compute_wait
 from cornelgap.forwarding import fetcher
 from cornelgap.forwarding.directory_actor import (
@@ -95,7 +96,8 @@
         rng = random.Random()
         wait_s = compute_wait(min(settings.apply_s, settings.drain_s))
         port = settings.inner_ports[0]
-        engine = Engine(settings.zone, rng)
+        cold_starts = ColdStarts(name, settings.cold_limit)
+        engine = Engine(settings.zone, rng, cold_starts)
         Supervisor.start(name, end_crashed)
         self._packets = PacketActor.start(
             name, engine, CODEC, self._sock, DIRECTORY
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from cornelgap.core.errors import Code, CodedError
-from cornelgap.forwarding.directory import Route, Target, make_cookie
+from cornelgap.forwarding.directory import Route, Target, Warmup, make_cookie
 from cornelgap.platform.layout import parse_ip
 
 CONFIG_KIND = 'config'
@@ -34,6 +34,9 @@
 MAX_WARMUP_MS = 600_000
 """Ten minutes; targets are slow for seconds after their start."""
 
+MAX_PER_S = 1_000_000
+"""Far above the flows of any target; what is more is a mistake."""
+
 MAX_BORN_MS = 1 << 53
 MAX_REVISION = 1 << 53
 """Largest whole numbers that every JSON writer keeps exact."""
@@ -79,6 +82,27 @@
     )
 
 
+def load_warmups(spec):
+    """Load how the services' targets warm up.
+
+    :returns: tuple (dict service -> :class:`Warmup`, list of
+        :class:`CodedError`).  A service that tells nothing readable is left
+        out; its targets are then cold for as long as they say themselves.
+    """
+    warmups = {}
+    errors = []
+    for position, item in enumerate(spec.get('services') or ()):
+        try:
+            warmups[check_text(item['name'])] = Warmup(
+                check_number(item.get('warmup_s', 0), MAX_WARMUP_MS / 1000),
+                check_number(item.get('warmup_per_s', 0), MAX_PER_S),
+            )
+        except _MALFORMED as exc:
+            place = f'{CONFIG_KIND}/{CONFIG_NAME} services.{position}'
+            errors.append(CodedError(Code.CFG_BAD_VALUE, repr(exc), place))
+    return warmups, errors
+
+
 def load_drained_zones(items):
     """Load the orders to drain zones.
 
--- a/cornelgap/platform/settings.py
+++ b/cornelgap/platform/settings.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from cornelgap.core.errors import Code, CodedError
+from cornelgap.decisions.cold_starts import ColdLimit
 
 VARIABLE = 'CORNELGAP_CONFIG'
 """Environment variable with the path of the file."""
@@ -23,6 +24,7 @@
     :param drain_s: time within which a draining target must get no new
         flow, seconds.
     :param capacity: the machine's link, in Mbit/s, as a power of two.
+    :param cold_limit: what a cold target may get, None if that is not bounded.
     :param grace_s: time between SIGTERM and SIGKILL, seconds.
     """
 
@@ -38,6 +40,7 @@
     drain_s: float
     grace_s: float
     capacity: int
+    cold_limit: ColdLimit | None = None
 
 
 def load_node_settings(path):
@@ -69,6 +72,7 @@
         drain_s=reader.read_number('bounds.drain_ms', 3000) / 1000,
         grace_s=reader.read_number('bounds.grace_s', 6),
         capacity=int(reader.read_number('limits.link_mbps', 0)).bit_length(),
+        cold_limit=_read_cold_limit(reader),
     )
     form = reader.read('forwarding_mode', str, 'echo')
     if form != 'echo':
@@ -76,6 +80,14 @@
     return (None if reader.errors else settings), reader.errors
 
 
+def _read_cold_limit(reader):
+    over = reader.read_number('bounds.cold_over', -1)
+    slack = reader.read_number('bounds.cold_slack', -1)
+    if over < 0 and slack < 0:
+        return None
+    return ColdLimit(max(0, over), max(0, slack))
+
+
 class _Reader:
     """Reads fields and collects errors, so that all are told at once."""
 
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -123,8 +123,9 @@
         if not main:
             return RoutesKnown(None, 0, sent)
         routes, errors = objects.load_routes(main[0]['spec'])
-        self._log_errors(errors)
-        return RoutesKnown(routes, main[0]['meta']['revision'], sent)
+        warmups, more_errors = objects.load_warmups(main[0]['spec'])
+        self._log_errors(errors + more_errors)
+        return RoutesKnown(routes, main[0]['meta']['revision'], sent, warmups)
 
     def _read_changes(self, events):
         changes = []
--- a/features/proofs/forwarding_desk.py
+++ b/features/proofs/forwarding_desk.py
@@ -6,6 +6,7 @@
 
 import random
 
+from cornelgap.decisions.cold_starts import ColdStarts
 from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding.directory import (
     Directory,
@@ -63,20 +64,26 @@
 class Desk:
     """One instance's engine and directory, and what became of packets."""
 
-    def __init__(self, seed=1, zone=ZONE):
-        """Begin at second 100 with an empty directory."""
+    def __init__(self, seed=1, zone=ZONE, name='n0', cold_limit=None):
+        """Begin at second 100 with an empty directory.
+
+        :param name: the instance.
+        :param cold_limit: what a cold target may get, None for any number.
+        """
         self.now = 100
         self.revision = 0
         self.directory = Directory()
-        self.engine = Engine(zone, random.Random(seed))
+        self.engine = Engine(
+            zone, random.Random(seed), ColdStarts(name, cold_limit)
+        )
         self.effects = []
 
-    def set_routes(self, *routes, revision=None):
+    def set_routes(self, *routes, revision=None, warmups=None):
         """Let the store tell a configuration."""
         if revision is None:
             self.revision += 1
             revision = self.revision
-        self.directory.adopt_routes(routes, revision, self.now)
+        self.directory.adopt_routes(routes, revision, self.now, warmups)
         self.show()
 
     def drain_zones(self, *zones, revision=None):
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -1,6 +1,7 @@
 """Guards of forwarded flows, and how each is taken out."""
 
 from cornelgap.decisions import (
+    cold_starts,
     flow_health,
     following,
     target_choice,
@@ -290,6 +291,33 @@
     )
 
 
+def own_all_cold(patches):
+    def choose_owners(key, names, budget):
+        return frozenset(names), budget
+
+    patches.replace_function(cold_starts.choose_owners, choose_owners)
+
+
+def give_whole_budget(patches):
+    patches.set_attr(cold_starts, 'GIVEN_PART', 1)
+
+
+def own_when_young(patches):
+    patches.set_attr(neighbours, 'SETTLE_S', 0)
+
+
+def forget_soon(patches):
+    patches.set_attr(neighbours, 'RECENT_S', neighbours.FORGET_S)
+
+
+def trust_returned_zones(patches):
+    patches.set_attr(
+        directory.View,
+        'is_cold',
+        lambda self, target, now: now < target.cold_until,
+    )
+
+
 def let_idle_flows_wait(patches):
     patches.set_attr(flows, 'KEPT_S', 0)
 
@@ -330,6 +358,36 @@
         'instances tell each other which zones are drained',
         skip_told_drains,
     ),
+    (
+        'cold-owners',
+        11,
+        'few instances open flows on one cold target',
+        own_all_cold,
+    ),
+    (
+        'cold-part',
+        11,
+        'owners of a cold target may change within a second',
+        give_whole_budget,
+    ),
+    (
+        'cold-young',
+        11,
+        'an instance that has just started owns no cold target',
+        own_when_young,
+    ),
+    (
+        'cold-recent',
+        11,
+        'an instance that is cut off goes on counting the others',
+        forget_soon,
+    ),
+    (
+        'cold-return',
+        11,
+        'targets of a zone that is taken back count as cold for a while',
+        trust_returned_zones,
+    ),
     (
         'idle-kept',
         10,
--- a/features/steps/forwarding_news_steps.py
+++ b/features/steps/forwarding_news_steps.py
@@ -1,84 +1,16 @@
 """Steps on hubs, loads and fetches between instances."""
 
-import random
 import threading
 import time
 
 from behave import given, then, when
 
 from cornelgap.forwarding import fetcher
-from cornelgap.forwarding.neighbours import Neighbours, Self
-from cornelgap.forwarding.peer_messages import Beat
+from features.proofs.zone_world import TURN_S, Zone
 
-TURN_S = 0.25
 COOKIE = 7
 
 
-class Zone:
-    """Instances of one zone in virtual time; each turn all beats arrive."""
-
-    def __init__(self, count, wide):
-        """Let all know the first one as their seed."""
-        self.now = 100
-        self.dead = set()
-        self.nodes = {}
-        for number in range(count):
-            host = f'10.0.0.{number}'
-            own = Self(f'n{number}', 'a', host, 10 if number < wide else 3)
-            rng = random.Random(number)
-            self.nodes[host] = Neighbours(own, ['10.0.0.5'], rng)
-        self.reported = {}
-
-    def turn(self, loads=None):
-        """Pass a quarter of a second."""
-        self.now += TURN_S
-        for host, node in self.nodes.items():
-            if host not in self.dead:
-                node.expire(self.now)
-                self._send_all(host, node, loads or {})
-
-    def list_alive(self):
-        """Return the instances that are alive."""
-        return [
-            node for host, node in self.nodes.items() if host not in self.dead
-        ]
-
-    def _send_all(self, host, node, loads):
-        hello = node.choose_hello(self.now)
-        if hello is not None:
-            self._send(node, hello, hello=True)
-        members = node.list_members(self.now, 'a') if node.is_hub else []
-        for near in node.list_near_hosts():
-            self._send(node, near, members=members)
-        if node.is_first_hub:
-            total = node.sum_others({}, self.now)
-            for cookie, flows in loads.items():
-                total[cookie] = total.get(cookie, 0) + flows
-            for near in node.list_near_hosts():
-                self._send(node, near, zone_loads=total)
-        else:
-            for near in node.list_load_hosts():
-                self._send(node, near, loads=loads)
-
-    def _send(self, node, host, **parts):
-        if host in self.dead:
-            return
-        beat = Beat(
-            node.name,
-            'a',
-            node.host,
-            1,
-            node.capacity,
-            hub=node.is_hub,
-            **parts,
-        )
-        other = self.nodes[host]
-        other.note_beat(beat, self.now)
-        if beat.hello:
-            members = other.list_members(self.now, 'a')
-            self._send(other, node.host, members=members)
-
-
 @given('a hub that is busy for a while')
 def start_hub(context):
     context.snapshot = b'x' * 200000
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -22,6 +22,7 @@
 from cornelgap.forwarding.packets import Drop, Forward, Reset
 from cornelgap.platform import layout, objects
 from cornelgap.platform.settings import load_node_settings
+from features.proofs.cold_world import ColdWorld
 from features.proofs.forwarding_desk import (
     Desk,
     make_packet,
@@ -493,3 +494,41 @@
         )
         name, found, revision = peers.load_change(item, 0)
         assert (revision, found) == (7, target)
+
+
+@then(
+    'hypothesis finds no order of events that gives a cold target too much',
+)
+def check_cold_budget(context):
+    event = st.tuples(
+        st.sampled_from(['restart', 'kill', 'cut_off', 'heal', 'add']),
+        st.integers(0, 28),
+        st.sampled_from([0, 0.25, 0.5, 1, 3]),
+    )
+
+    @settings(max_examples=20, derandomize=True, database=None, deadline=None)
+    @vary(
+        st.sampled_from([29, 100]),
+        st.sampled_from([0, 3, 20]),
+        st.lists(event, max_size=12),
+    )
+    def search(count, per_s, events):
+        world = ColdWorld(count, per_s)
+        world.run(4, press=False)
+        for kind, number, wait in events:
+            act_on(world, kind, number)
+            world.run(wait)
+        world.run(1)
+        assert world.count_most() <= world.budget, world.count_most()
+
+    search()
+
+
+def act_on(world, kind, number):
+    """Let something happen to one instance of a zone."""
+    if kind == 'heal':
+        world.heal()
+    elif kind == 'add':
+        world.restart(world.count + number)
+    else:
+        getattr(world, kind)(number)
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -3,6 +3,7 @@
 from behave import step, then, when
 
 from features.proofs import (
+    cold_stories,
     drain_stories,
     forwarding_stories,
     grey_stories,
@@ -22,6 +23,7 @@
     zone_stories,
     grey_stories,
     drain_stories,
+    cold_stories,
     lost_flow_stories,
 )
 
