Split the directory actor: taking in facts and reports are modules

`intake` takes facts in and logs them, `reports` sums loads and outcomes; behaviour is unchanged. Operators' pages and `cornelgap explain` know drained zones and cold targets.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -24,6 +24,7 @@
     'forwarding: targets given up': 'silent targets changed',
     'forwarding: targets fail more than their peers': 'outliers changed',
     'forwarding: zones away': 'zones away changed',
+    'directory: drained zones changed': 'drained zones changed',
     'follower: store lost': 'store lost',
 }
 """Lines that tell of a cause by themselves."""
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -13,7 +13,7 @@
 from cornelgap.core.errors import CodedError
 from cornelgap.decisions.following import Following
 from cornelgap.decisions.pacing import Pacer
-from cornelgap.forwarding import directory_log
+from cornelgap.forwarding import intake
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.beats import BeatSender
 from cornelgap.forwarding.directory import Directory
@@ -29,20 +29,17 @@
 from cornelgap.forwarding.follower import FOLLOWER, Follow, ListOnce
 from cornelgap.forwarding.neighbours import (
     Neighbours,
-    add_loads,
-    add_outcomes,
 )
-from cornelgap.forwarding.news import News, compare_beat
+from cornelgap.forwarding.news import News
 from cornelgap.forwarding.packet_actor import (
     FORWARDING,
     AdoptView,
     EvidenceSeen,
     LoadSeen,
     OthersEvidence,
-    OthersLoad,
     ZoneMembers,
-    ZoneOutcomes,
 )
+from cornelgap.forwarding.reports import Reports
 from cornelgap.forwarding.sockets import drop_waiting, open_socket
 from cornelgap.forwarding.target_judge import Evidence
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
@@ -116,18 +113,17 @@
             self._sock,
             port,
         )
+        self._reports = Reports(
+            self._neighbours, self._tell_packets, self._send_loads
+        )
         self._on_complete = on_complete
         self._complete = False
         self._changes_at = None
         self._beat_at = float('-inf')
-        self._load_at = float('-inf')
         self._members_at = float('-inf')
         self._turn_at = read_clock()
         self._began_at = self._turn_at
         self._evidence = Pacer(EVIDENCE_PER_S, EVIDENCE_PER_S)
-        self._loads = {}
-        self._reported = {}
-        self._outcomes = {}
         self._recent = frozenset()
         self.counts = Counter()
         self.actor_inbox.add_socket(self._sock)
@@ -135,7 +131,7 @@
             AnnounceLeaving: self._announce_leaving,
             EvidenceSeen: self._take_evidence,
             KeyKnown: self._take_key,
-            LoadSeen: self._take_loads,
+            LoadSeen: self._reports.take_own,
             ReadNews: self._give_news,
             ReadSnapshot: self._give_snapshot,
             Readable: self._read,
@@ -170,42 +166,18 @@
     # Facts of this instance's own followers.
 
     def _take_routes(self, fact):
-        directory = self._directory
-        if fact.routes is None:
-            directory.confirm_routes(fact.as_of)
-            self._spread(changed=False)
-            return
-        changed = directory.adopt_routes(
-            fact.routes, fact.revision, fact.as_of, fact.warmups
-        )
-        if changed:
-            directory_log.log_routes(directory, 'store', self._turn_at)
-        self._spread(changed)
+        self._spread(intake.take_routes(self._directory, fact, self._turn_at))
 
     def _take_drained(self, fact):
-        if self._adopt_drained(fact.zones, fact.revision, 'store'):
+        if intake.take_drained(self._directory, fact, self._turn_at):
             self._spread(changed=True)
 
-    def _adopt_drained(self, zones, revision, origin):
-        changed = self._directory.adopt_drained(zones, revision, self._turn_at)
-        if changed:
-            directory_log.log_drained(self._directory, origin)
-        return changed
-
     def _take_list(self, fact):
-        changed = self._directory.adopt_targets(
-            fact.targets, fact.revision, fact.as_of, self._turn_at
-        )
-        if changed:
-            directory_log.log_targets(self._directory, 'store')
-        self._spread(changed)
+        self._spread(intake.take_list(self._directory, fact, self._turn_at))
 
     def _take_changes(self, fact):
         since = self._directory.targets_revision
-        changed = self._directory.apply_targets(
-            fact.changes, fact.revision, fact.as_of, self._turn_at
-        )
-        directory_log.log_changes(fact.changes, 'store')
+        changed = intake.take_changes(self._directory, fact, self._turn_at)
         self._spread(changed, fact.changes if changed else (), since)
 
     # Facts of other instances.
@@ -234,11 +206,11 @@
         self._neighbours.note_beat(beat, self._turn_at)
         if beat.hello:
             self._answer_hello(host, beat.zone)
-        self._take_told_outcomes(beat)
+        self._reports.take_told(beat)
         evidence = Evidence(beat.repeats, beat.answers)
         if evidence:
             found = OthersEvidence(beat.name, evidence)
-            tell_service(self.scope, FORWARDING, found)
+            self._tell_packets(found)
         if not beat.leaving:
             self._compare(beat, changes)
 
@@ -248,42 +220,18 @@
 
     def _compare(self, beat, changes):
         """Take from a beat what it says of the directory."""
-        drained = self._directory.drained_zones
-        news = compare_beat(self._directory, beat, changes, self._turn_at)
-        if self._directory.drained_zones != drained:
-            directory_log.log_drained(self._directory, beat.name)
+        now = self._turn_at
+        news = intake.take_beat(self._directory, beat, changes, now)
         if News.BEHIND in news:
             fetch = Fetch(beat.host, self._beats.key)
             tell_service(self.scope, FETCHER, fetch)
-        if News.CHANGED in news:
-            directory_log.log_changes(changes, beat.name)
         if news & {News.CHANGED, News.CONFIRMED}:
             self._tell(News.CHANGED in news)
 
     def _take_snapshot(self, message):
-        snapshot = message.snapshot
-        directory = self._directory
-        now = self._turn_at
-        drained_changed = self._adopt_drained(
-            snapshot.drained_zones, snapshot.drained_revision, message.host
-        )
-        changed = directory.adopt_routes(
-            snapshot.routes,
-            snapshot.routes_revision,
-            message.sent_at - snapshot.routes_age,
-            snapshot.warmups,
+        self._spread(
+            intake.take_snapshot(self._directory, message, self._turn_at)
         )
-        if changed:
-            directory_log.log_routes(directory, message.host, now)
-        targets_changed = directory.adopt_targets(
-            snapshot.targets,
-            snapshot.targets_revision,
-            message.sent_at - snapshot.targets_age,
-            now,
-        )
-        if targets_changed:
-            directory_log.log_targets(directory, message.host)
-        self._spread(drained_changed or changed or targets_changed)
 
     def _give_snapshot(self, _message):
         if self._beats.key is None or not self._directory.complete:
@@ -321,11 +269,14 @@
             view = directory.make_view(now)
             self._changes_at = directory.next_change(now)
         as_of = now - directory.compute_age(now)
-        tell_service(self.scope, FORWARDING, AdoptView(view, as_of))
+        self._tell_packets(AdoptView(view, as_of))
         if directory.complete and not self._complete:
             self._complete = True
             self._on_complete()
 
+    def _tell_packets(self, message):
+        tell_service(self.scope, FORWARDING, message)
+
     def _tick(self, _message):
         now = self._turn_at
         neighbours = self._neighbours
@@ -347,7 +298,7 @@
         recent = self._neighbours.list_recent(now)
         if recent != self._recent:
             self._recent = recent
-            tell_service(self.scope, FORWARDING, ZoneMembers(recent))
+            self._tell_packets(ZoneMembers(recent))
 
     def _learn_from_seeds(self, now):
         """Fetch what a seed knows while the store has not given the key.
@@ -370,59 +321,18 @@
         if neighbours.is_hub and now - self._members_at >= MEMBERS_S:
             self._members_at = now
             parts['members'] = neighbours.list_members(now, own_zone)
-        if now - self._load_at >= neighbours.choose_load_pause():
-            self._load_at = now
-            self._report_load(now, parts)
-        self._report_outcomes(parts)
+        parts.update(self._reports.report(now))
         hosts = neighbours.list_near_hosts()
         if self._following.active:
             hosts = neighbours.list_all_near()
         self._send_beat(hosts, own_zone, **parts)
         far_hosts = neighbours.list_far_hosts(now)
         if far_hosts:
-            own_loads = neighbours.sum_zone_loads(self._loads, now)
+            own_loads = self._reports.sum_zone_loads(now)
             self._send_beat(far_hosts, '', zone_loads=own_loads)
 
-    def _report_outcomes(self, parts):
-        """Tell the hub how requests ended, or as the hub all of the zone."""
-        outcomes, self._outcomes = self._outcomes, {}
-        if not outcomes:
-            return
-        if self._neighbours.is_first_hub:
-            parts['zone_outcomes'] = outcomes
-            tell_service(self.scope, FORWARDING, ZoneOutcomes(outcomes))
-        else:
-            parts['outcomes'] = outcomes
-
-    def _take_told_outcomes(self, beat):
-        if beat.zone_outcomes and beat.zone == self._own.zone:
-            news = ZoneOutcomes(beat.zone_outcomes)
-            tell_service(self.scope, FORWARDING, news)
-        if beat.outcomes and self._neighbours.is_first_hub:
-            add_outcomes(self._outcomes, beat.outcomes)
-
-    def _report_load(self, now, parts):
-        """Tell the packet actor of others' load, and the hub of our own."""
-        neighbours = self._neighbours
-        others = neighbours.sum_others(self._reported, now)
-        news = OthersLoad(
-            others,
-            neighbours.count_zone(),
-            neighbours.choose_load_pause(),
-            neighbours.compute_rank(),
-        )
-        tell_service(self.scope, FORWARDING, news)
-        if neighbours.is_first_hub:
-            total = dict(others)
-            add_loads(total, self._loads)
-            parts['zone_loads'] = total
-        else:
-            self._reported = self._loads
-            self._send_beat(
-                neighbours.list_load_hosts(),
-                self._own.zone,
-                loads=self._loads,
-            )
+    def _send_loads(self, hosts, loads):
+        self._send_beat(hosts, self._own.zone, loads=loads)
 
     def _decide_following(self, now):
         neighbours = self._neighbours
@@ -481,11 +391,5 @@
             gauges['directory_age_seconds'] = age
         return dict(self.counts + self._beats.counts), gauges
 
-    # Small messages.
-
     def _take_key(self, message):
         self._beats.key = message.key
-
-    def _take_loads(self, message):
-        self._loads = message.loads
-        add_outcomes(self._outcomes, message.outcomes)
--- /dev/null
+++ b/cornelgap/forwarding/intake.py
@@ -0,0 +1,99 @@
+"""How facts get into the directory, from the store and from others.
+
+Each function takes in one message, logs what it has changed, and says
+whether anything has; what becomes of it is the directory actor's to do.
+"""
+
+from cornelgap.forwarding import directory_log
+from cornelgap.forwarding.news import News, compare_beat
+
+STORE = 'store'
+"""Origin of facts that this instance has read itself."""
+
+
+def take_routes(directory, fact, now):
+    """Take :class:`~cornelgap.forwarding.facts.RoutesKnown`."""
+    if fact.routes is None:
+        directory.confirm_routes(fact.as_of)
+        return False
+    changed = directory.adopt_routes(
+        fact.routes, fact.revision, fact.as_of, fact.warmups
+    )
+    if changed:
+        directory_log.log_routes(directory, STORE, now)
+    return changed
+
+
+def take_drained(directory, fact, now):
+    """Take :class:`~cornelgap.forwarding.facts.ZonesDrained`."""
+    return _adopt_drained(directory, fact.zones, fact.revision, STORE, now)
+
+
+def take_list(directory, fact, now):
+    """Take :class:`~cornelgap.forwarding.facts.TargetsListed`."""
+    changed = directory.adopt_targets(
+        fact.targets, fact.revision, fact.as_of, now
+    )
+    if changed:
+        directory_log.log_targets(directory, STORE)
+    return changed
+
+
+def take_changes(directory, fact, now):
+    """Take :class:`~cornelgap.forwarding.facts.TargetsChanged`."""
+    changed = directory.apply_targets(
+        fact.changes, fact.revision, fact.as_of, now
+    )
+    directory_log.log_changes(fact.changes, STORE)
+    return changed
+
+
+def take_beat(directory, beat, changes, now):
+    """Take what a beat says of the directory.
+
+    :param changes: the beat's changes of targets, loaded.
+    :returns: set of :class:`~cornelgap.forwarding.news.News`.
+    """
+    drained = directory.drained_zones
+    news = compare_beat(directory, beat, changes, now)
+    if directory.drained_zones != drained:
+        directory_log.log_drained(directory, beat.name)
+    if News.CHANGED in news:
+        directory_log.log_changes(changes, beat.name)
+    return news
+
+
+def take_snapshot(directory, message, now):
+    """Take :class:`~cornelgap.forwarding.fetcher.SnapshotFetched`."""
+    snapshot = message.snapshot
+    drained_changed = _adopt_drained(
+        directory,
+        snapshot.drained_zones,
+        snapshot.drained_revision,
+        message.host,
+        now,
+    )
+    routes_changed = directory.adopt_routes(
+        snapshot.routes,
+        snapshot.routes_revision,
+        message.sent_at - snapshot.routes_age,
+        snapshot.warmups,
+    )
+    if routes_changed:
+        directory_log.log_routes(directory, message.host, now)
+    targets_changed = directory.adopt_targets(
+        snapshot.targets,
+        snapshot.targets_revision,
+        message.sent_at - snapshot.targets_age,
+        now,
+    )
+    if targets_changed:
+        directory_log.log_targets(directory, message.host)
+    return drained_changed or routes_changed or targets_changed
+
+
+def _adopt_drained(directory, zones, revision, origin, now):
+    changed = directory.adopt_drained(zones, revision, now)
+    if changed:
+        directory_log.log_drained(directory, origin)
+    return changed
--- a/cornelgap/operators/explanation.py
+++ b/cornelgap/operators/explanation.py
@@ -14,6 +14,7 @@
 longest bound after which a change is known everywhere."""
 
 BELIEFS = (
+    'directory: drained zones changed',
     'directory: follows the store',
     'directory: leaves the store to others',
     'directory: routes adopted',
@@ -36,7 +37,10 @@
     'routes_unknown': 'the instance had just started, and the configuration '
     'did not come in time',
     'route_dropped': "the configuration no longer has the flow's route",
-    'no_target': 'no target of the service is registered and not draining',
+    'no_target': 'no target of the service is registered, not draining and '
+    'in a zone that takes new flows',
+    'cold_targets': 'the targets of the service have just started and had got '
+    'their flows of this second',
     'target_silent': 'the target had answered nobody, so its callers were '
     'told at once',
     'target_gone': "the target's registration has ended",
