--- a/cornelgap/decisions/fanout.py
+++ b/cornelgap/decisions/fanout.py
@@ -30,8 +30,8 @@
     """Return names in the order in which they become watchers.
 
     :param capacities: numbers by name; higher ones come first.  Telling a
-        zone of its news filled the link of a small machine (5 Mbit/s), and
-        the callers' packets behind it were 0.6 s late.
+        zone of its news fills the link of a small machine, and callers'
+        packets wait behind it.
     """
     capacities = capacities or {}
 
--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -19,7 +19,7 @@
 
 AVOID_FLOWS = 2
 """Flows that repeat without any answer in between before a target gets no
-new flow.  At 1% loss on each way two of them meet once in 2,500 flows."""
+new flow.  Two packets that are lost by chance rarely meet on one target."""
 
 AVOID_S = 1.0
 """Time without new flows; then the next flow is a probe.  A crashed
@@ -41,8 +41,8 @@
 SILENT_S = 0.4
 """Weight of repeats, and time without one answer, before the flows that a
 target holds are given up: one second repeat and first ones of three more
-flows, or three second ones.  With first repeats alone live targets were
-given up: a cold one answers three flows in a zone late at the same time."""
+flows, or three second ones.  First repeats alone prove nothing: a cold
+target answers several flows of a zone late at the same time."""
 
 SILENT_HOLD_S = 3.0
 """Time for which a target then counts as silent unless it answers; its
--- a/cornelgap/decisions/following.py
+++ b/cornelgap/decisions/following.py
@@ -30,10 +30,10 @@
 
 START_S = 2.0
 """Time after the start in which an instance does not follow: it has listed
-everything once, and finds the others meanwhile.  When 63 instances started
-together and all followed until they knew each other, 75 registrations of
-targets cost 2,300 calls; what is heard late here is heard within the
-promised three seconds."""
+everything once, and finds the others meanwhile.  If all that start together
+followed until they know each other, each change of a target would be a call
+of each of them; what is heard late here is heard within the promised
+time."""
 
 STAND_DOWN_S = 1.0
 """Time for which another must have followed before this one stops."""
--- a/cornelgap/decisions/target_choice.py
+++ b/cornelgap/decisions/target_choice.py
@@ -15,8 +15,8 @@
 
 The availability zone is chosen first, by the mean load of its targets.  A
 target that has just been added is empty, and instances of other zones hear
-late of what it has got since: choosing among all targets at once, five
-zones put 156 flows on a new target in a second, where the others held 30.
+late of what it has got since: choosing among all targets at once, each of
+them would go on sending it flows long after it is full.
 """
 
 from itertools import groupby
@@ -24,8 +24,7 @@
 from msgspec import Struct
 
 COLD_COST = 1.6
-"""A target that has just started works this much slower (the users' sheets:
-1.6 times for two seconds)."""
+"""A target that has just started works this many times slower."""
 
 FAR_FACTOR = 1.5
 FAR_FLOWS = 2.0
--- a/cornelgap/decisions/target_outliers.py
+++ b/cornelgap/decisions/target_outliers.py
@@ -30,8 +30,8 @@
 SPREAD = 4.0
 """Standard deviations above the peers' share, of a count that chance makes,
 with one failure more in the variance since the median of few is rough: where
-the peers have none, five failures.  Judged twice a second, three deviations
-take a target away now and then while all of a service fail alike."""
+the peers have none, five failures.  With fewer deviations, judged again and
+again, chance takes targets away while all of a service fail alike."""
 
 LEAST_REQUESTS = 4
 """Requests from which on the share of a peer counts for the median."""
--- a/cornelgap/decisions/zone_reach.py
+++ b/cornelgap/decisions/zone_reach.py
@@ -28,8 +28,8 @@
 """Pause between two new flows that may open in the zone all the same, for
 all instances of an availability zone together.  Each costs its caller 0.2 s
 if the zone is still away; without them nobody would notice that it is back
-once all flows have left.  One for each instance would be 12 flows a second
-with 8 instances in four zones, and 312 with 195 in five."""
+once all flows have left.  One for each instance would grow with instances
+times zones."""
 
 
 class _Zone(Struct):
--- a/cornelgap/forwarding/buckets.py
+++ b/cornelgap/forwarding/buckets.py
@@ -1,7 +1,7 @@
 """Counts of durations by upper bound, as Prometheus' histograms have them."""
 
 BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5)
-"""Upper bounds in seconds; among them the users' response-time goals."""
+"""Upper bounds in seconds; among them customary latency objectives."""
 
 
 class Buckets:
--- a/cornelgap/forwarding/fetcher.py
+++ b/cornelgap/forwarding/fetcher.py
@@ -19,7 +19,7 @@
 
 FETCHER = 'fetcher'
 FETCH_S = 1.0
-"""Longest fetch, seconds.  Snapshots of 1,400 routes take 20 ms."""
+"""Longest fetch, seconds; a snapshot takes milliseconds."""
 
 _CHUNK = 65536
 _LOG = logging.getLogger('cornelgap.directory')
--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -28,8 +28,7 @@
 GATHER_S = 0.25
 """Pause after an answer that told changes.  While targets are replaced or
 started, their registrations change many times a second, and each change
-would be a call of its own for each follower: 442 of the 1,061 calls of a
-quiet day with 79 instances were watches of the 16 s in which targets start.
+would be a call of its own for each follower.
 The next wait is shorter by the pause, so what is known grows no older than
 without it."""
 
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -31,17 +31,18 @@
 
 PACK_BYTES = 1200
 """Bodies of beats above this are compressed, so that they fit into fewer
-network packets: the loads of 4,600 targets take 72 KB, more than a datagram
-can hold at all, and 35 KB compressed."""
+network packets; the loads of thousands of targets fit into no datagram
+otherwise."""
 
 PACK_MARK = b'\x78'
 """First byte of a compressed body; one in plain JSON begins with a brace."""
 
 UNPACKED_BYTES = 1024 * 1024
-"""Longest unpacked body of a beat, ten times that of 4,600 targets."""
+"""Longest unpacked body of a beat, ten times that of 4,600 targets.  A
+longer one would take memory that callers' packets need."""
 
 PACKED_BYTES = 64 * 1024 * 1024
-"""Longest unpacked snapshot: 4,600 targets and 2,300 routes take 2 MB."""
+"""Longest unpacked snapshot, far above one of 4,600 targets."""
 
 
 class Beat(Struct):
--- a/cornelgap/forwarding/request_watch.py
+++ b/cornelgap/forwarding/request_watch.py
@@ -37,8 +37,7 @@
 
 SHORT_SHARE = 0.25
 """An answer of less than this share of the route's usual bytes is short.
-Whole answers of one kind differ by a factor of two or three: of 1,778 on one
-route 16% had less than half of the usual bytes, 1% less than a quarter."""
+Whole answers of one kind differ by a factor of two or three."""
 
 MOST_SHORT = 0.2
 """Share of short answers from which on they are a route's habit and say
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -46,8 +46,7 @@
         """List all objects.
 
         Targets come first: packets of open flows need nothing else, and on
-        the slowest links a configuration of 1,500 routes takes half a
-        second.
+        a slow link a large configuration takes half a second.
 
         :returns: iterator of messages for the directory, each as soon as it
             is known.
