Tell only of answers that an instance's own flows have shown

Cause: an instance that hears of repeats against a target answers "it lives" if an answer is less than 0.4 s old, and an answer that it was told of itself counted too. So instances went on telling each other, each time with a new 0.4 s, for as long as repeats came in; what they were told also wiped out the repeats that they had heard.

Change: only own flows' answers are told, with their age.

Ruled out: that too few requests reach a target for a verdict (nine a second for each, three are enough); that instances that have lost the store tell nothing (they follow their neighbours).

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -57,6 +57,8 @@
     """What flows say of one target since its last answer.
 
     :param repeats: tuple (time, weight) of the last repeat by flow.
+    :param shown_at: when flows of this instance showed the last answer.
+    :param answered_at: the same by flows of any instance.
     """
 
     repeats: dict = field(default_factory=dict)
@@ -64,6 +66,7 @@
     probe_at: float = 0
     repeated_at: float = 0
     answered_at: float = 0
+    shown_at: float = 0
     avoided_until: float = 0
     avoided: int = 0
 
@@ -110,15 +113,18 @@
             record.silent_until = now + SILENT_HOLD_S
         return True
 
-    def note_answer(self, key, answered_at):
+    def note_answer(self, key, answered_at, told=False):
         """Note that an answer of a target has shown.
 
         :param answered_at: time since which the target has answered, as far
             as it is known; the past where a caller told of it late.
+        :param told: whether another instance's flows have shown it.
         """
         record = self._records.get(key)
         if record is None:
             record = self._records[key] = _Record()
+        if not told:
+            record.shown_at = max(record.shown_at, answered_at)
         if answered_at <= record.answered_at:
             return
         record.answered_at = answered_at
@@ -128,10 +134,19 @@
             record.avoided_until = 0
             record.silent_until = 0
 
-    def has_answered(self, key, now):
-        """Say whether an answer has shown so lately that it is alive."""
+    def find_answer(self, key, now):
+        """Return the age of an answer that shows a target to be alive.
+
+        Only what flows of this instance have shown counts.  If each passed
+        on what it was told, instances would go on telling each other that a
+        target is alive after its last answer, and none would give it up.
+
+        :returns: seconds; None if there is none.
+        """
         record = self._records.get(key)
-        return record is not None and now - record.answered_at < SILENT_S
+        if record is None or now - record.shown_at >= SILENT_S:
+            return None
+        return now - record.shown_at
 
     def is_avoided(self, key, now):
         """Say whether a target should get no new flow now."""
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -207,7 +207,7 @@
         if beat.hello:
             self._answer_hello(host, beat.zone)
         self._reports.take_told(beat)
-        evidence = Evidence(beat.repeats, beat.answers)
+        evidence = Evidence(beat.repeats, beat.answers, beat.answer_ages)
         if evidence:
             found = OthersEvidence(beat.name, evidence)
             self._tell_packets(found)
@@ -371,6 +371,7 @@
                 self._own.zone,
                 repeats=message.evidence.repeats,
                 answers=message.evidence.answers,
+                answer_ages=message.evidence.ages,
             )
 
     def _give_news(self, _message):
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -163,7 +163,8 @@
         """Note what flows through another instance say of targets.
 
         :param evidence: :class:`~cornelgap.forwarding.target_judge.Evidence`.
-        :returns: cookies that have repeats there and answers here.
+        :returns: the same of targets that have repeats there and answers
+            here.
         """
         return self.judge.note_evidence(
             self.view.by_cookie, instance, evidence, now
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -12,7 +12,6 @@
 from cornelgap.forwarding.facts import WAKE_S, read_clock
 from cornelgap.forwarding.packets import SYN, Drop, Forward, Reason, Reset
 from cornelgap.forwarding.sockets import drop_waiting
-from cornelgap.forwarding.target_judge import Evidence
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
@@ -359,7 +358,7 @@
             message.instance, message.evidence, self._turn_at
         )
         if alive:
-            self._tell(EvidenceSeen(Evidence(answers=alive)))
+            self._tell(EvidenceSeen(alive))
         self._reset_lost()
 
     def _tell(self, message):
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -69,6 +69,7 @@
     :param repeats: lists [cookie, flow number, whether again] of callers
         that repeated.
     :param answers: cookies of targets that answer nevertheless.
+    :param answer_ages: ages of these answers in milliseconds.
     :param outcomes: how requests through the sender have ended since its
         last beat, by cookie.
     :param zone_outcomes: the same through all instances of the zone.
@@ -98,6 +99,7 @@
     zone_loads: dict | None = None
     repeats: list = field(default_factory=list)
     answers: list = field(default_factory=list)
+    answer_ages: list = field(default_factory=list)
     outcomes: dict = field(default_factory=dict)
     zone_outcomes: dict = field(default_factory=dict)
     members: list = field(default_factory=list)
@@ -388,18 +390,21 @@
 def _are_evidence(beat):
     return (
         _are_rows(beat.repeats, 3)
-        and isinstance(beat.answers, list)
-        and all(isinstance(item, int) for item in beat.answers)
+        and _are_numbers(beat.answers)
+        and _are_numbers(beat.answer_ages)
+    )
+
+
+def _are_numbers(found):
+    return isinstance(found, list) and all(
+        isinstance(number, int) for number in found
     )
 
 
 def _are_rows(rows, length):
     """Say whether something is a list of lists of so many whole numbers."""
     return isinstance(rows, list) and all(
-        isinstance(row, list)
-        and len(row) == length
-        and all(isinstance(part, int) for part in row)
-        for row in rows
+        _are_numbers(row) and len(row) == length for row in rows
     )
 
 
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -7,6 +7,8 @@
 here is kept for the others to hear.
 """
 
+from itertools import chain, repeat
+
 from msgspec import Struct, field
 
 from cornelgap.decisions.flow_health import FlowHealth
@@ -33,15 +35,33 @@
         that repeated.
     :param answers: cookies of targets that answer nevertheless, or whose
         zone is back.
+    :param ages: ages of these answers in milliseconds; 0 if left out.
     """
 
     repeats: list = field(default_factory=list)
     answers: list = field(default_factory=list)
+    ages: list = field(default_factory=list)
 
     def __bool__(self):
         """Say whether there is anything to tell."""
         return bool(self.repeats or self.answers)
 
+    def add_answer(self, cookie, age_s=0):
+        """Add an answer.
+
+        :param age_s: seconds since it was seen.
+        """
+        self.answers.append(cookie)
+        self.ages.append(round(age_s * 1000))
+
+    def list_answers(self, now):
+        """Return tuples (cookie, time of the answer)."""
+        ages = chain(self.ages, repeat(0))
+        return [
+            (cookie, now - max(0, age) / 1000)
+            for cookie, age in zip(self.answers, ages, strict=False)
+        ]
+
 
 class TargetJudge:
     """Judges targets by cookie and zones by name.
@@ -143,7 +163,7 @@
             # would stay out of the zone until their own turn.  A flow that
             # was open before may show an answer that was on its way when the
             # zone was cut off; told to all, it would hide the cut.
-            self._evidence.answers.append(cookie)
+            self._evidence.add_answer(cookie)
 
     def take_evidence(self):
         """Return the :class:`Evidence` that was seen since the last call."""
@@ -155,14 +175,17 @@
 
         :param by_cookie: target by cookie.
         :param evidence: :class:`Evidence` of that instance.
-        :returns: cookies that have repeats there and answers here.
+        :returns: :class:`Evidence` of targets that have repeats there and
+            answers here.
         """
-        for cookie in evidence.answers:
-            self._take_answer(cookie, by_cookie.get(cookie), now)
-        alive = []
+        for cookie, answered_at in evidence.list_answers(now):
+            target = by_cookie.get(cookie)
+            self._take_answer(cookie, target, answered_at, told=True)
+        alive = Evidence()
         for cookie, number, again in evidence.repeats:
-            if self._health.has_answered(cookie, now):
-                alive.append(cookie)
+            age = self._health.find_answer(cookie, now)
+            if age is not None:
+                alive.add_answer(cookie, age)
                 continue
             flow = (instance, number)
             target = by_cookie.get(cookie)
@@ -219,9 +242,9 @@
         self.silent = silent
         return fresh
 
-    def _take_answer(self, cookie, target, answered_at):
+    def _take_answer(self, cookie, target, answered_at, told=False):
         """Note an answer; return since when its zone was away, if it was."""
-        self._health.note_answer(cookie, answered_at)
+        self._health.note_answer(cookie, answered_at, told)
         if target is None:
             return None
         return self._reach.note_answer(target.zone, answered_at)
--- a/features/lost_flows.feature
+++ b/features/lost_flows.feature
@@ -22,6 +22,14 @@
     Then the proof checkers have no objection
     But they object once the guard "idle-reset" is taken out
 
+  Scenario: Ten instances see one target crash
+    Each of them may have seen an answer just before, which it tells to those
+    that see repeats.  Told on and on, the target would look alive long after
+    it has crashed.
+    When the proof story "crash seen by many" is played
+    Then the proof checkers have no objection
+    But they object once the guard "answer-echo" is taken out
+
   Scenario: Flows of other targets stay
     A reset of a feed on a target that lives breaks it.
     When the proof story "flows of live targets" is played
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -87,10 +87,20 @@
     patches.set_attr(
         flow_health.FlowHealth,
         'note_answer',
-        lambda self, key, answered_at: None,
+        lambda self, key, answered_at, told=False: None,
     )
 
 
+def pass_on_told_answers(patches):
+    def find_answer(self, key, now):
+        record = self._records.get(key)
+        if record is None or now - record.answered_at >= flow_health.SILENT_S:
+            return None
+        return 0
+
+    patches.set_attr(flow_health.FlowHealth, 'find_answer', find_answer)
+
+
 def count_first_repeats(patches):
     patches.set_attr(flow_health, 'FIRST_WEIGHT', flow_health.SECOND_WEIGHT)
 
@@ -214,7 +224,7 @@
 def believe_any_answer(patches):
     def note_answer(self, cookie, target, answered_at, opened_at):
         if self._take_answer(cookie, target, answered_at) is not None:
-            self._evidence.answers.append(cookie)
+            self._evidence.add_answer(cookie)
 
     patches.set_attr(target_judge.TargetJudge, 'note_answer', note_answer)
 
@@ -480,6 +490,12 @@
         'an answer to anybody shows that a target lives',
         ignore_answers,
     ),
+    (
+        'answer-echo',
+        10,
+        'an instance tells only of answers that its own flows have shown',
+        pass_on_told_answers,
+    ),
     (
         'second-repeat',
         10,
--- a/features/proofs/lost_flow_stories.py
+++ b/features/proofs/lost_flow_stories.py
@@ -10,6 +10,7 @@
 TARGETS = tuple(make_target(number) for number in range(1, 5))
 CRASHED = TARGETS[0]
 CALLERS = range(40001, 40021)
+STEP_S = 0.05
 BUSY = 4
 """Callers that have a request at the target when it crashes."""
 
@@ -82,6 +83,50 @@
     return find_left(list_reset(desk))
 
 
+def play_crash_seen_by_many():
+    """Ten instances carry requests to a target that has just crashed.
+
+    Each request is repeated after 0.2, 0.6 and 1.4 s; what instances see
+    reaches all others in one step.
+    """
+    desks = [start_desk() for _ in range(10)]
+    for rank, desk in enumerate(desks):
+        desk.engine.note_others({}, len(desks), pause_s=1, rank=rank)
+        desk.pass_time(2)
+        desk.send(CALLERS[0], CRASHED, ack=600)
+    sent = [(0.11 * number, number) for number in range(1, 12)]
+    for step in range(1, 26):
+        for desk in desks:
+            desk.pass_time(STEP_S)
+        for begun, number in sent:
+            ages = (begun, begun + 0.2, begun + 0.6, begun + 1.4)
+            if any(abs(step * STEP_S - age) < STEP_S / 2 for age in ages):
+                caller = CALLERS[1 + number]
+                desks[number % 10].send(caller, CRASHED, ack=500, size=100)
+        tell_evidence(desks)
+    late = sum(not desk.engine.name_silent() for desk in desks)
+    return [f'{late} of 10 instances still trust the target'] if late else []
+
+
+def tell_evidence(desks):
+    """Let each instance hear what the others see, and they its reply."""
+    told = [
+        (name, desk.engine.judge.take_evidence())
+        for name, desk in enumerate(desks)
+    ]
+    while told:
+        name, evidence = told.pop()
+        if not evidence:
+            continue
+        for other, desk in enumerate(desks):
+            if other == name:
+                continue
+            alive = desk.engine.note_evidence(f'n{name}', evidence, desk.now)
+            told.append((other, alive))
+    for desk in desks:
+        desk.engine.reset_lost(desk.now)
+
+
 def play_flows_of_live_targets():
     """One target crashes, and flows of the others are just as idle."""
     desk = start_desk()
