Give flows to a zone that is away up with fewer repeats

Change: while a zone is known to be away (two targets, two instances, no answer of the whole zone), one second repeat without any answer gives a single target up. Not on an instance that has just started: it sees repeats of what was lost while it was down, and no answer yet.

Ruled out: resetting all flows to a zone with the zone's verdict (two of its targets may have crashed while the third is well); first repeats, which once led to resets of live targets.

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -84,11 +84,12 @@
         self._records = {}
         self.witnesses = 1
 
-    def note_repeat(self, key, flow, now, again=False):
+    def note_repeat(self, key, flow, now, again=False, away=False):
         """Note that a caller repeated what it had sent to a target.
 
         :param flow: tuple (instance, name of the caller's flow).
         :param again: whether it had repeated the same before.
+        :param away: whether the target's whole zone is out of reach.
         :returns: whether it speaks against the target.
         """
         record = self._records.setdefault(key, _Record())
@@ -103,16 +104,29 @@
             record.avoided_until = now + compute_backoff(
                 AVOID_S, record.avoided, LONGEST_AVOID_S
             )
-        enough = sum(recent) >= SILENT_WEIGHT and SECOND_WEIGHT in recent
-        instances = {name for name, _ in record.repeats}
-        if len(instances) < self.witnesses:
-            enough = False
-        if enough and now - record.answered_at >= SILENT_S:
+        if (
+            self._is_enough(record, recent, away)
+            and now - record.answered_at >= SILENT_S
+        ):
             if now >= record.silent_until:
                 record.probe_at = now + PROBE_S
             record.silent_until = now + SILENT_HOLD_S
         return True
 
+    def _is_enough(self, record, recent, away):
+        """Say whether repeats give a target up.
+
+        Few flows lead to a single target of another zone, and each of them
+        would lose a request when that zone is cut off.  Where several of its
+        targets have proved the zone away, one second repeat is enough.
+        """
+        if SECOND_WEIGHT not in recent:
+            return False
+        if away:
+            return True
+        instances = {name for name, _ in record.repeats}
+        return sum(recent) >= SILENT_WEIGHT and len(instances) >= self.witnesses
+
     def note_answer(self, key, answered_at, told=False):
         """Note that an answer of a target has shown.
 
--- a/cornelgap/decisions/zone_reach.py
+++ b/cornelgap/decisions/zone_reach.py
@@ -7,8 +7,9 @@
 and new flows go on opening behind the cut.  Two targets that answer nobody,
 while no other target of the zone answers either, say the same at once.
 
-The verdict keeps new flows away and resets nothing: two of a zone's targets
-may have crashed while the third had nothing to do.
+The verdict keeps new flows away and resets nothing by itself: two of a zone's
+targets may have crashed while the third had nothing to do.  It takes fewer
+repeats then to give up a single target, see ``flow_health``.
 """
 
 from msgspec import Struct, field
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -250,10 +250,20 @@
         return self._reach.note_answer(target.zone, answered_at)
 
     def _judge_repeat(self, cookie, target, flow, again, now):
-        zone = None if target is None else target.zone
-        if again and zone is not None:
-            self._reach.note_repeat(zone, cookie, flow[0], now)
-        return self._health.note_repeat(cookie, flow, now, again)
+        away = False
+        if target is not None:
+            if again:
+                self._reach.note_repeat(target.zone, cookie, flow[0], now)
+            away = self._is_surely_away(target.zone, now)
+        return self._health.note_repeat(cookie, flow, now, again, away)
+
+    def _is_surely_away(self, zone, now):
+        """Say whether a zone is away by more than the repeats of a start.
+
+        An instance that has just started sees no answer from zones to which
+        few of its flows lead, and repeats of what was lost while it was down.
+        """
+        return self._reach.is_away(zone) and not self._is_young(now)
 
     def _is_young(self, now):
         return self._began_at is None or now - self._began_at < YOUNG_S
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -168,6 +168,20 @@
     Then the proof checkers have no objection
     But they object once the guard "zone-reach" is taken out
 
+  Scenario: Few flows lead to each target of a zone that is cut off
+    Judged alone, each target would need the requests of several flows, so
+    that inventors lose a refinement for each of them.
+    When the proof story "flows to zone away" is played
+    Then the proof checkers have no objection
+    But they object once the guard "zone-flows" is taken out
+
+  Scenario: An instance has just started, and few flows lead to a zone
+    It has seen no answer from there, only repeats of what was lost while it
+    was down.
+    When the proof story "young before far zone" is played
+    Then the proof checkers have no objection
+    But they object once the guard "zone-young" is taken out
+
   Scenario: Many instances look whether a zone is back
     It stays cut off for seconds, and each look is a caller's opening that
     nobody answers.  If each instance looked for itself, every third caller
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -197,6 +197,23 @@
     patches.set_attr(zone_reach.ZoneReach, 'list_away', lambda self: [])
 
 
+def judge_far_targets_alone(patches):
+    def is_enough(self, record, recent, away):
+        weight = sum(recent)
+        second = flow_health.SECOND_WEIGHT in recent
+        return second and weight >= flow_health.SILENT_WEIGHT
+
+    patches.set_attr(flow_health.FlowHealth, '_is_enough', is_enough)
+
+
+def trust_young_verdict(patches):
+    patches.set_attr(
+        target_judge.TargetJudge,
+        '_is_surely_away',
+        lambda self, zone, now: self._reach.is_away(zone),
+    )
+
+
 def believe_one_target(patches):
     patches.set_attr(zone_reach, 'SILENT_TARGETS', 1)
 
@@ -580,6 +597,18 @@
         'a zone that is away gets no new flow',
         judge_targets_alone,
     ),
+    (
+        'zone-flows',
+        1,
+        'flows to a zone that is away are given up with few repeats',
+        judge_far_targets_alone,
+    ),
+    (
+        'zone-young',
+        1,
+        'an instance that has just started gives no zone flows up',
+        trust_young_verdict,
+    ),
     (
         'zone-targets',
         1,
--- a/features/proofs/zone_stories.py
+++ b/features/proofs/zone_stories.py
@@ -59,6 +59,37 @@
     return [f'{far} flows are opened behind the cut'] if far > 1 else []
 
 
+def play_flows_to_zone_away():
+    """Another zone is cut off; few flows lead to each of its targets."""
+    desk, flows = start_two_zones()
+    desk.pass_time(1)
+    repeat_twice(desk, flows, list(flows)[:4])
+    reset = {key[1] for key, _ in desk.engine.reset_lost(desk.now)}
+    # Of the two flows on each target one has asked, the other is idle.  The
+    # first target was silent before anything spoke against its zone.
+    left = [
+        caller
+        for caller, target in flows.items()
+        if target != flows[40001] and caller not in reset
+    ]
+    return [f'{len(left)} callers will lose a request'] if left else []
+
+
+def play_young_before_far_zone():
+    """An instance has just started; what it held for zone b was lost."""
+    desk = Desk()
+    desk.set_routes(make_route('search'))
+    desk.set_targets(*NEAR, *FAR)
+    flows = {40001 + number: FAR[number % 4] for number in range(8)}
+    for caller, target in flows.items():
+        desk.send(caller, target, ack=2)
+    repeat_twice(desk, flows, list(flows)[:4])
+    desk.pass_time(1)
+    if desk.engine.reset_lost(desk.now):
+        return ['flows of live targets were reset']
+    return []
+
+
 def play_zone_with_one_dead_target():
     """One target of another zone has crashed, the others had nothing to do."""
     desk, flows = start_two_zones()
