--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -37,6 +37,16 @@
     And the flows that the target holds go on
     And explaining a refused flow tells "has no route to this address"
 
+  Scenario: An operator drains a zone and takes it back
+    Its machines are about to go.  The order goes to one instance that
+    follows the store; a feed that another one opens there is cut off.
+    When 40 flows are opened and each makes 1 request
+    And an operator drains the zone of all targets
+    Then within 3 s every new flow is refused
+    And the flows go on through all instances
+    When an operator takes the zone of all targets back
+    Then within 3 s every new flow is opened
+
   Scenario: The store is away, and instances restart without it
     An outage must not end open flows.  An instance that restarts then knows
     nothing; what it learns comes from the others, never from a guess.
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -292,6 +292,37 @@
     check_answers(context)
 
 
+@when('an operator drains the zone of all targets')
+def drain_zone(context):
+    context.store.put('evacuations', 'a', {})
+
+
+@when('an operator takes the zone of all targets back')
+def take_zone_back(context):
+    context.store.remove('evacuations', 'a')
+
+
+@then('within 3 s every new flow is refused')
+def check_refused(context):
+    wait_for_state(context, 'reset')
+
+
+@then('within 3 s every new flow is opened')
+def check_opened(context):
+    wait_for_state(context, 'open')
+
+
+def wait_for_state(context, state):
+    """Open flows until all that are opened in one go get the same end."""
+
+    def is_in_force():
+        flows = open_flows(context, 12)
+        wait_until_settled(flows)
+        return all(flow.state == state for _, flow in flows)
+
+    wait_for(is_in_force, 3, f'new flows are {state}')
+
+
 @when('the store falls silent and an instance is killed and started again')
 def silence_store(context):
     context.store.silent = True
