Follow the store by rank also while nothing can be known yet

Change: without any facts an instance has waited only since it might follow, so the first by rank follows, hears the configuration and tells the others.

Ruled out: unexplained revisions as the cause (4 after the start).

--- a/cornelgap/decisions/following.py
+++ b/cornelgap/decisions/following.py
@@ -14,6 +14,8 @@
 one of them takes over and not all at once.
 """
 
+import math
+
 from msgspec import Struct
 
 STALE_SLACK_S = 0.5
@@ -64,7 +66,8 @@
         """Return whether to follow from now on.
 
         :param rank: instances of the zone before this one that are alive.
-        :param age_s: age of the oldest of the facts, seconds.
+        :param age_s: age of the oldest of the facts, seconds; infinite if
+            one is not known.
         :param other_follows: whether one of a lower rank is known to follow
             and has fresh facts.
         """
@@ -77,9 +80,22 @@
             if relieved is not None and now - relieved >= STAND_DOWN_S:
                 self.active = False
         elif now - self.started_at >= START_S:
-            self.active = rank == 0 or age_s > self.compute_limit(rank)
+            waited_s = self._compute_wait(now, age_s)
+            self.active = rank == 0 or waited_s > self.compute_limit(rank)
         return self.active
 
+    def _compute_wait(self, now, age_s):
+        """Return for how long this instance has waited for news, seconds.
+
+        When a system starts for the first time there is no configuration
+        yet, and what nobody can know has no age.  Taken to be too old, it
+        would make all instances follow in the same moment, each hearing
+        every target's registration by calls of its own.
+        """
+        if math.isfinite(age_s):
+            return age_s
+        return now - self.started_at - START_S
+
     def compute_limit(self, rank):
         """Return the age, seconds, above which a rank takes over."""
         stagger = min(STAGGER_S * max(0, rank - 1), LONGEST_STAGGER_S)
--- a/features/forwarding_traps.feature
+++ b/features/forwarding_traps.feature
@@ -81,6 +81,18 @@
     Then the proof checkers have no objection
     But they object once the guard "age-decides" is taken out
 
+  Scenario: A system starts for the first time
+    No configuration has been written yet, so that all instances know too
+    little.  If each of them follows the store, they use up its rates while
+    targets register.
+    When the proof story "first start" is played
+    Then the proof checkers have no objection
+    But they object once the guard "first-start" is taken out
+
+  Scenario: The first instance to follow goes deaf at the first start
+    When the proof story "deaf at first start" is played
+    Then the proof checkers have no objection
+
   Scenario: A suspended instance wakes with old beliefs
     For four seconds the process stood still; a target began to drain.  A
     flow that is placed at once would end with it.
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -180,6 +180,14 @@
     patches.set_attr(following.Following, 'decide', decide)
 
 
+def follow_without_facts(patches):
+    patches.set_attr(
+        following.Following,
+        '_compute_wait',
+        lambda self, now, age_s: age_s,
+    )
+
+
 def believe_strangers(patches):
     patches.replace_function(peer_messages.check_tag, lambda found, right: None)
 
@@ -475,6 +483,12 @@
         'who knows nothing fresh follows the store itself',
         trust_the_follower,
     ),
+    (
+        'first-start',
+        5,
+        'what nobody can know yet makes nobody follow the store',
+        follow_without_facts,
+    ),
     (
         'revision-explained',
         5,
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -335,6 +335,41 @@
     return ['all follow at once'] if all(active) else []
 
 
+def play_first_start():
+    """A system starts for the first time, and has no configuration yet.
+
+    The first instance by rank hears of one when it begins to follow, and
+    tells the others a moment later.
+    """
+    starting = [Following(1, started_at=100) for _ in range(20)]
+    followed = set()
+    step_s = 0.05
+    for step in range(80):
+        now = 100 + step * step_s
+        is_known = now > 102 + 0.1
+        for rank, instance in enumerate(starting):
+            age_s = 0.2 if is_known else float('inf')
+            if instance.decide(now, rank, age_s, is_known and rank > 0):
+                followed.add(rank)
+    if 0 not in followed:
+        return ['nobody follows the store']
+    if len(followed) > 1:
+        return [f'{len(followed)} instances of a zone follow at once']
+    return []
+
+
+def play_deaf_at_first_start():
+    """The first instance by rank never tells of a configuration."""
+    others = [Following(1, started_at=100) for _ in range(3)]
+    for step in range(100):
+        now = 100 + step * 0.05
+        for rank, other in enumerate(others, start=1):
+            other.decide(now, rank, float('inf'), other_follows=False)
+    if not others[0].active:
+        return ['nobody follows the store']
+    return []
+
+
 def play_stranger():
     """Somebody without the key tells where targets are."""
     beat = peer_messages.Beat('x', 'a', '10.0.0.9', 1, targets_changed=999)
