Take a stale answer without a revision as of no revision

Found on reading: a first listing of drained zones may be answered by a replica that has never heard of such orders (no such kind, no revision). It was taken to hold as of the targets' revision, so the first order ever given would have looked old in neighbours' beats. Seen red without the change.

--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -104,8 +104,10 @@
         listing = self._client.list_objects(objects.DRAINED_KIND, stale)
         zones, errors = objects.load_drained_zones(listing.objects)
         self._log_errors(errors)
-        # A listing without any object may state no revision.
-        revision = listing.revision or self._revision
+        revision = listing.revision
+        if not revision and not stale:
+            # No such order was ever given, up to what was listed before.
+            revision = self._revision
         yield ZonesDrained(zones, revision)
         yield self._read_routes()
         # A zone may have been drained while the routes were read.
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -139,6 +139,15 @@
     Then its first call for orders was content with an old answer
     And the next watch tells that zone "b" is drained
 
+  Scenario: A replica that is behind has never heard of such orders
+    It answers that there is no such kind of objects, without a revision.
+    Taken as of now, later news of the first order would look old.
+    Given a store with 3 targets that lists 10 objects a page
+    When an operator drains zone "b" and a replica knows no such orders
+    And a source lists it
+    Then what it tells of drained zones is as of no revision
+    And the next watch tells that zone "b" is drained
+
   Scenario: An order holds whatever its entry says
     Its name is the zone.  An entry that is being deleted is in force, too;
     one whose name cannot be read hides no other.
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -28,6 +28,7 @@
 from cornelgap.platform.store import (
     CALL_S,
     HistoryGone,
+    Listing,
     StoreClient,
     StoreError,
     load_json,
@@ -524,9 +525,14 @@
 
 @when('an operator drains zone "{zone}" and a replica does not know it yet')
 def drain_behind(context, zone):
-    right = context.client.list_objects
     old = context.client.list_objects('evacuations')
     order_drain(context, zone)
+    answer_stale(context, old)
+
+
+def answer_stale(context, old):
+    """Let a replica that is behind answer where old answers will do."""
+    right = context.client.list_objects
     context.stale = []
 
     def list_objects(kind, stale=False):
@@ -536,6 +542,17 @@
     context.client.list_objects = list_objects
 
 
+@when('an operator drains zone "{zone}" and a replica knows no such orders')
+def drain_unheard(context, zone):
+    order_drain(context, zone)
+    answer_stale(context, Listing([], 0))
+
+
+@then('what it tells of drained zones is as of no revision')
+def check_no_revision(context):
+    assert not pick(context.facts, ZonesDrained).revision
+
+
 @then('its first call for orders was content with an old answer')
 def check_stale_orders(context):
     assert context.stale == [
