--- a/features/proofs/drain_stories.py
+++ b/features/proofs/drain_stories.py
@@ -16,7 +16,7 @@
     make_route,
     make_target,
 )
-from features.proofs.zone_stories import repeat_twice
+from features.proofs.zone_stories import carry_flows, repeat_twice
 
 NEAR = tuple(make_target(number) for number in range(1, 5))
 FAR = tuple(make_target(number, zone='b') for number in range(5, 9))
@@ -71,10 +71,7 @@
 def play_drained_probe():
     """A zone that is cut off, and due for a probe, is drained."""
     desk = start_desk()
-    flows = {40001 + number: FAR[number] for number in range(4)}
-    for caller, target in flows.items():
-        desk.send(caller, target, ack=1)
-        desk.send(caller, target, ack=2)
+    flows = carry_flows(desk, FAR)
     desk.pass_time(1)
     repeat_twice(desk, flows, list(flows)[:2])
     desk.drain_zones('b')
@@ -123,10 +120,7 @@
 def play_drained_and_cut():
     """The own zone is drained, and then cut off from the other one."""
     desk = start_desk()
-    flows = {40001 + number: FAR[number] for number in range(4)}
-    for caller, target in flows.items():
-        desk.send(caller, target, ack=1)
-        desk.send(caller, target, ack=2)
+    flows = carry_flows(desk, FAR)
     desk.drain_zones('a')
     desk.pass_time(4)
     repeat_twice(desk, flows, list(flows)[:3])
--- a/features/proofs/zone_stories.py
+++ b/features/proofs/zone_stories.py
@@ -23,11 +23,19 @@
     desk = Desk()
     desk.set_routes(make_route('search'))
     desk.set_targets(*NEAR, *FAR)
-    flows = {40001 + number: FAR[number % 4] for number in range(8)}
+    return desk, carry_flows(desk, FAR + FAR)
+
+
+def carry_flows(desk, targets):
+    """Let an engine see a flow on each of some targets, with an answer.
+
+    :returns: dict caller -> target.
+    """
+    flows = dict(enumerate(targets, start=40001))
     for caller, target in flows.items():
         desk.send(caller, target, ack=1)
         desk.send(caller, target, ack=2)
-    return desk, flows
+    return flows
 
 
 def load_own_zone(desk, instances=1, rank=0):
