Log what is refused as older, and the store's era

The incident's logs could not tell its hypotheses apart: 'target changed' stood at instances that had refused the change, a refused fact left no line, and nothing said that the store's numbering had begun anew. Now a refused fact is logged with its revision and the known one, a change is logged only where it is taken in, and the header that counts the store's returns from a copy is read and logged when it changes. cornelgap explain shows both lines. No decision changes.

--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -377,6 +377,10 @@
             return float('inf')
         return now - min(self.routes_as_of, self.targets_as_of)
 
+    def knows_later(self, name, revision):
+        """Say whether something later than a revision is known of a target."""
+        return revision < self._find_seen(name)
+
     def list_routes(self):
         """Return all routes, to tell others."""
         return list(self._routes.values())
--- a/cornelgap/forwarding/directory_log.py
+++ b/cornelgap/forwarding/directory_log.py
@@ -64,6 +64,26 @@
         )
 
 
+def log_refused(kind, origin, revision, known, target=''):
+    """Log that a fact was refused as older than what is known.
+
+    :param kind: ``routes``, ``targets`` or ``drained_zones``.
+    :param revision: revision of the fact.
+    :param known: revision that is known.
+    :param target: name of the target, if the fact is about one.
+    """
+    _LOG.info(
+        'directory: fact refused as older',
+        extra={
+            'kind': kind,
+            'from': origin,
+            'revision': revision,
+            'known': known,
+            'target': target,
+        },
+    )
+
+
 def _name_state(target):
     if target is None:
         return 'gone'
--- a/cornelgap/forwarding/intake.py
+++ b/cornelgap/forwarding/intake.py
@@ -21,6 +21,10 @@
     )
     if changed:
         directory_log.log_routes(directory, STORE, now)
+    elif fact.revision < directory.routes_revision:
+        directory_log.log_refused(
+            'routes', STORE, fact.revision, directory.routes_revision
+        )
     return changed
 
 
@@ -31,6 +35,10 @@
 
 def take_list(directory, fact, now):
     """Take :class:`~cornelgap.forwarding.facts.TargetsListed`."""
+    if fact.revision < directory.targets_revision:
+        directory_log.log_refused(
+            'targets', STORE, fact.revision, directory.targets_revision
+        )
     changed = directory.adopt_targets(
         fact.targets, fact.revision, fact.as_of, now
     )
@@ -41,10 +49,15 @@
 
 def take_changes(directory, fact, now):
     """Take :class:`~cornelgap.forwarding.facts.TargetsChanged`."""
+    taken, refused = _split_changes(directory, fact.changes)
     changed = directory.apply_targets(
         fact.changes, fact.revision, fact.as_of, now
     )
-    directory_log.log_changes(fact.changes, STORE)
+    directory_log.log_changes(taken, STORE)
+    for name, _, revision in refused:
+        directory_log.log_refused(
+            'targets', STORE, revision, directory.targets_revision, name
+        )
     return changed
 
 
@@ -93,7 +106,22 @@
 
 
 def _adopt_drained(directory, zones, revision, origin, now):
+    if revision < directory.drained_revision:
+        directory_log.log_refused(
+            'drained_zones', origin, revision, directory.drained_revision
+        )
     changed = directory.adopt_drained(zones, revision, now)
     if changed:
         directory_log.log_drained(directory, origin)
     return changed
+
+
+def _split_changes(directory, changes):
+    """Split changes into those that are news and those that look older."""
+    taken = []
+    refused = []
+    for change in changes:
+        name, _, revision = change
+        is_old = directory.knows_later(name, revision)
+        (refused if is_old else taken).append(change)
+    return taken, refused
--- a/cornelgap/operators/explanation.py
+++ b/cornelgap/operators/explanation.py
@@ -15,9 +15,11 @@
 
 BELIEFS = (
     'directory: drained zones changed',
+    'directory: fact refused as older',
     'directory: follows the store',
     'directory: leaves the store to others',
     'directory: routes adopted',
+    'follower: store era',
     'follower: store is back',
     'follower: store lost',
     'forwarding: process stood still',
--- a/cornelgap/platform/http_calls.py
+++ b/cornelgap/platform/http_calls.py
@@ -9,6 +9,7 @@
 import socket
 
 from httptools import HttpParserError, HttpResponseParser
+from msgspec import Struct
 
 _CHUNK = 65536
 _HEAD = (
@@ -23,13 +24,29 @@
     """An answer that is no HTTP, or ends before it is whole."""
 
 
+class Reply(Struct, frozen=True):
+    """A whole answer.
+
+    :param fields: header fields by name in lower case, as bytes.
+    :param body: bytes.
+    """
+
+    status: int
+    fields: dict
+    body: bytes
+
+
 class _Answer:
     """Collects what the parser finds; its methods have the library's names."""
 
     def __init__(self):
+        self.fields = {}
         self.chunks = []
         self.complete = False
 
+    def on_header(self, name, content):
+        self.fields[name.lower()] = content
+
     def on_body(self, chunk):
         self.chunks.append(chunk)
 
@@ -53,7 +70,7 @@
 
         :param body: bytes of JSON, or None.
         :param timeout: longest silence, seconds.
-        :returns: tuple (status, bytes).
+        :returns: :class:`Reply`.
         :raises OSError: if the connection fails or falls silent.
         :raises HttpError: if the answer cannot be read.
         """
@@ -99,4 +116,6 @@
             parser.feed_data(chunk)
         if not parser.should_keep_alive():
             self.close()
-        return parser.get_status_code(), b''.join(answer.chunks)
+        return Reply(
+            parser.get_status_code(), answer.fields, b''.join(answer.chunks)
+        )
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -40,6 +40,7 @@
         self._client = client
         self._revision = 0
         self._policy_revision = 0
+        self._era = 0
         self._logged = set()
 
     def list_facts(self):
@@ -56,6 +57,7 @@
         is_first = not self._revision
         listing = self._client.list_objects(objects.TARGETS_KIND)
         self._revision = listing.revision
+        self._note_era(listing.era)
         targets = {}
         for item in listing.objects:
             found = self.read(item)
@@ -149,6 +151,19 @@
             return None
         return found.name, found.target or UNREADABLE, found.revision
 
+    def _note_era(self, era):
+        if era == self._era:
+            return
+        _LOG.info(
+            'follower: store era',
+            extra={
+                'era': era,
+                'before': self._era,
+                'revision': self._revision,
+            },
+        )
+        self._era = era
+
     def _log_errors(self, errors):
         """Log what was left out, once for each place and reason."""
         for exc in errors:
--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -17,6 +17,10 @@
 """Longest wait for a short answer, seconds.  A healthy answer takes 4 ms, a
 slow store's 0.25 s."""
 
+ERA_FIELD = b'store-era'
+"""Header field that counts how often the store came back from a copy."""
+
+MAX_ERA_DIGITS = 18
 MAX_PAGES = 1000
 MAX_DIGITS = 300
 """Longest whole number that is read as one; longer ones stay text."""
@@ -26,20 +30,25 @@
     """All objects of a kind at one revision.
 
     :param objects: list of the store's objects, as decoded JSON.
+    :param era: how often the store came back from a copy; 0 if it does not
+        tell.
     """
 
     objects: list
     revision: int
+    era: int = 0
 
 
 class Events(Struct, frozen=True):
     """What has changed since a revision.
 
     :param events: list of tuples (object, deleted).
+    :param era: as of :class:`Listing`.
     """
 
     events: list
     revision: int
+    era: int = 0
 
 
 class StoreError(CodedError):
@@ -80,6 +89,7 @@
     def __init__(self, address):
         """Open nothing yet."""
         self._conn = HttpConnection(address)
+        self._era = 0
         self.calls = 0
 
     @classmethod
@@ -102,7 +112,7 @@
             body = self._call('GET', kind, query)
             if body is None:
                 # No object of this kind was ever made.
-                return Listing(objects, first_revision or 0)
+                return Listing(objects, first_revision or 0, self._era)
             page = body.get('items') or []
             objects += page
             if first_revision is None:
@@ -110,7 +120,7 @@
                 # revision repeats a change rather than missing one.
                 first_revision = body['store_revision']
             if not body.get('more') or not page:
-                return Listing(objects, first_revision)
+                return Listing(objects, first_revision, self._era)
             query = {**fixed, 'after': _find_last_name(page)}
         raise StoreError('the listing does not end', answered=True)
 
@@ -137,7 +147,7 @@
             for event in body.get('events') or ()
             if isinstance(event, dict)
         ]
-        return Events(events, body['store_revision'])
+        return Events(events, body['store_revision'], self._era)
 
     def create_object(self, kind, name, spec):
         """Create an object.
@@ -164,16 +174,17 @@
         path = make_path(place, query)
         content = None if body is None else json.dumps(body).encode()
         try:
-            status, raw = self._conn.call(method, path, content, timeout)
-            answer = load_json(raw) if raw else {}
+            reply = self._conn.call(method, path, content, timeout)
+            answer = load_json(reply.body) if reply.body else {}
         except (OSError, HttpError, ValueError) as exc:
             self.close()
             raise StoreError(repr(exc), answered=False) from exc
-        if status == 404:
+        self._era = parse_era(reply.fields, self._era)
+        if reply.status == 404:
             return None
-        if status in {200, 201}:
+        if reply.status in {200, 201}:
             return answer
-        raise _make_error(status, answer)
+        raise _make_error(reply.status, answer)
 
 
 def make_path(place, query):
@@ -210,6 +221,18 @@
         return json.loads(text, parse_int=_parse_int)
 
 
+def parse_era(fields, known):
+    """Read from the header fields how often the store came back from a copy.
+
+    :param known: what the last answer said; holds where this one is silent,
+        as an answer of a proxy in between is.
+    """
+    digits = fields.get(ERA_FIELD, b'').strip()
+    if digits.isdigit() and len(digits) <= MAX_ERA_DIGITS:
+        return int(digits)
+    return known
+
+
 def _parse_int(digits):
     return int(digits) if len(digits) <= MAX_DIGITS else digits
 
--- /dev/null
+++ b/features/proofs/restore_world.py
@@ -0,0 +1,136 @@
+"""Instances that follow a stand-in store, and what they believe.
+
+A reader is the store's source and the directory of one instance, without
+its packets: facts go from real calls into the directory.
+"""
+
+from cornelgap.forwarding import intake, peer_messages
+from cornelgap.forwarding.directory import Directory
+from cornelgap.forwarding.facts import (
+    RoutesKnown,
+    TargetsChanged,
+    TargetsListed,
+    ZonesDrained,
+    read_clock,
+)
+from cornelgap.platform.sources import StoreSource
+from cornelgap.platform.store import StoreClient, StoreError
+from standins.object_store import ObjectStore, start_store
+
+WAIT_S = 0.05
+SERVICE = 'booking'
+KEY = b'k' * 32
+_TAKE = {
+    RoutesKnown: intake.take_routes,
+    TargetsChanged: intake.take_changes,
+    TargetsListed: intake.take_list,
+    ZonesDrained: intake.take_drained,
+}
+
+
+def make_spec(number, state='ready', zone='a'):
+    """Make what a target writes of itself."""
+    return {
+        'service': SERVICE,
+        'address': f'10.0.0.{number}:8080',
+        'zone': zone,
+        'max_concurrent': 3,
+        'state': state,
+        'warmup_left_ms': 0,
+    }
+
+
+def make_name(number):
+    """Name a target."""
+    return f'i-{number:08x}'
+
+
+class World:
+    """A store, and the instances that read it.
+
+    :param cleanups: list that takes what ends the world.
+    """
+
+    def __init__(self, cleanups):
+        """Start the store with two targets and a configuration."""
+        self.store = ObjectStore()
+        server = start_store(self.store)
+        cleanups.append(server.shutdown)
+        self.address = server.server_address
+        self.write_target(1)
+        self.write_target(2, zone='b')
+        self.write_routes(1, 443)
+
+    def write_target(self, number, state='ready', zone='a'):
+        """Let a target write its registration."""
+        spec = make_spec(number, state, zone)
+        self.store.put('servers', make_name(number), spec)
+
+    def write_routes(self, version, *ports):
+        """Let the operator write a configuration."""
+        routes = [
+            {
+                'name': f'r-{port}',
+                'host': '198.18.0.1',
+                'path_prefix': f'/{port}/',
+                'service': SERVICE,
+            }
+            for port in ports
+        ]
+        spec = {'version': version, 'routes': routes}
+        self.store.put('config', 'main', spec)
+
+    def write_other(self, count):
+        """Let the store's revision rise by changes of no concern."""
+        for number in range(count):
+            self.store.put('others', f'o-{number}', {})
+
+
+class Reader:
+    """One instance's knowledge.
+
+    :ivar later: seconds by which its clock is ahead of the real one.
+    """
+
+    def __init__(self, world):
+        """Read all that the store holds."""
+        self.later = 0
+        self.directory = Directory()
+        self.source = StoreSource(StoreClient(world.address))
+        self.read_all()
+
+    @property
+    def now(self):
+        """The instance's clock, seconds."""
+        return read_clock() + self.later
+
+    def read_all(self):
+        """List all facts."""
+        self._take(self.source.list_facts())
+
+    def follow(self):
+        """Wait for a change; list all where that fails, as followers do."""
+        try:
+            self._take(self.source.watch_facts(WAIT_S))
+        except StoreError:
+            self.read_all()
+
+    def list_ports(self):
+        """Return the ports of all routes in force."""
+        return sorted(route.port for route in self.directory.list_routes())
+
+    def list_open(self):
+        """Return the names of the targets that get new flows."""
+        view = self.directory.make_view(self.now)
+        return sorted(
+            target.name for target in view.by_service.get(SERVICE, ())
+        )
+
+    def make_snapshot(self):
+        """Return what this instance tells one that is behind."""
+        raw = peer_messages.pack_snapshot(self.directory, self.now, KEY)
+        return peer_messages.unpack_snapshot(raw, self.now, KEY)
+
+    def _take(self, facts):
+        for fact in facts:
+            _TAKE[type(fact)](self.directory, fact, self.now)
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -23,6 +23,7 @@
     :ivar silent: whether calls get no answer at all.
     :ivar deaf: whether watches hear nothing.
     :ivar page: objects a page.
+    :ivar era: how often the store came back from a copy; None to say nothing.
     """
 
     def __init__(self):
@@ -31,6 +32,7 @@
         self.silent = False
         self.deaf = False
         self.page = PAGE
+        self.era = 1
         self.calls = []
         self._changed = threading.Condition()
         self._revision = 1
@@ -78,6 +80,27 @@
             self._events.clear()
             self._oldest = self._revision
 
+    def copy(self):
+        """Copy all objects, for :meth:`restore`."""
+        with self._changed:
+            kinds = {kind: dict(found) for kind, found in self._kinds.items()}
+            return self._revision, kinds
+
+    def restore(self, copy):
+        """Come back from a copy: what was written since is lost.
+
+        Revisions go on from the copy's, and are given out again.
+        """
+        with self._changed:
+            self._revision, kinds = copy
+            self._kinds = {kind: dict(found) for kind, found in kinds.items()}
+            self._events = [
+                event for event in self._events if event[0] <= self._revision
+            ]
+            self._oldest = min(self._oldest, self._revision)
+            self.era += 1
+            self._changed.notify_all()
+
     def get(self, kind, name):
         """Return one object, or None."""
         with self._changed:
@@ -100,7 +123,7 @@
         ends_at = time.monotonic() + wait_s
         with self._changed:
             while True:
-                if revision < self._oldest:
+                if not self._oldest <= revision <= self._revision:
                     return None
                 found = [
                     event
@@ -169,6 +192,8 @@
     handler.send_response(status)
     handler.send_header('Content-Type', 'application/json')
     handler.send_header('Content-Length', str(len(raw)))
+    if store.era is not None:
+        handler.send_header('Store-Era', str(store.era))
     handler.end_headers()
     handler.wfile.write(raw)
 
