--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -71,3 +71,70 @@
     context.reader.read_all()
     (line,) = context.lines.pick('follower: store era')
     assert (line.before, line.era) == (1, 2), (line.before, line.era)
+
+
+@when('the store loses the last {count:d} changes of others')
+def lose_others(context, count):
+    world = context.world
+    copy = world.store.copy()
+    world.write_other(count)
+    context.reader.read_all()
+    world.store.restore(copy)
+
+
+@when(
+    'the store loses {count:d} changes of others '
+    'and configuration {version:d} with ports {ports}'
+)
+def lose_routes(context, count, version, ports):
+    world = context.world
+    copy = world.store.copy()
+    world.write_other(count)
+    world.write_routes(version, *read_numbers(ports))
+    context.reader.read_all()
+    world.store.restore(copy)
+
+
+@when('the operator writes configuration {version:d} with ports {ports}')
+def write_routes(context, version, ports):
+    context.world.write_routes(version, *read_numbers(ports))
+
+
+def read_numbers(text):
+    """Read numbers from a text such as ``443 and 8443``."""
+    return [int(number) for number in text.split(' and ')]
+
+
+@when('target {number:d} says that it drains')
+def drain_target(context, number):
+    context.world.write_target(number, 'draining')
+
+
+@when('the operator drains zone "{zone}"')
+def drain_zone(context, zone):
+    context.world.store.put('evacuations', zone, {})
+
+
+@when('the instance follows on')
+def follow(context):
+    # The first call meets a history that is gone, the second goes on.
+    context.reader.follow()
+    context.reader.follow()
+
+
+@then('it has routes to ports {ports}')
+def check_ports(context, ports):
+    found = context.reader.list_ports()
+    assert found == read_numbers(ports), found
+
+
+@then('new flows go to target {number:d} only')
+def check_open(context, number):
+    found = context.reader.list_open()
+    assert found == [make_name(number)], found
+
+
+@then('it knows that zone "{zone}" is drained')
+def check_drained(context, zone):
+    view = context.reader.directory.make_view(context.reader.now)
+    assert view.drained_zones == {zone}, view.drained_zones
--- a/features/store_restores.feature
+++ b/features/store_restores.feature
@@ -14,3 +14,27 @@
     Given a store, and an instance that has read it
     When the store comes back from a copy
     Then the instance's next list logs the era, and the one before
+
+  Scenario: A configuration confirmed after the return is in force
+    Guards against a configuration that is refused for its lower revision.
+    Given a store, and an instance that has read it
+    When the store loses 5 changes of others and configuration 2 with ports 443
+    And the operator writes configuration 3 with ports 443 and 8443
+    And the instance follows on
+    Then it has routes to ports 443 and 8443
+
+  Scenario: A target that drains after the return gets no new flow
+    Guards against a target's last word being refused for its lower revision.
+    Given a store, and an instance that has read it
+    When the store loses the last 5 changes of others
+    And target 1 says that it drains
+    And the instance follows on
+    Then new flows go to target 2 only
+
+  Scenario: A zone that is drained after the return gets no new flow
+    Guards against an order being refused for its lower revision.
+    Given a store, and an instance that has read it
+    When the store loses the last 5 changes of others
+    And the operator drains zone "a"
+    And the instance follows on
+    Then it knows that zone "a" is drained
