Order facts by the store's era, and configurations by their version

Cause: everything that orders facts compared the store's revision alone. The store gives lost revisions out again, so the truth looked older than what had been lost.

Evidence: six instances knew revision 41 at 67.7 s; the store told a draining target at 38 and configurations at 39 to 41 afterwards, the followers read each (four calls), no instance adopted one; the change at 42 was taken by all.

An answer of another era than the one that is followed is a gap: the follower lists everything again. Only a list leads from one era to the next. Configurations are ordered by the operator's own number first, which is never given twice, so that neither the copy's older one comes back nor a new instance serves it for long.

Of the six new ones, four failed on the code before (older configuration in the copy, numbers given out again, hearing of the return from another, equal revisions of two eras); the other two (late starter, one that missed the return) passed there and guard the new ordering.

--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -15,6 +15,7 @@
 from cornelgap.forwarding.directory import Directory, Route
 from cornelgap.forwarding.engine import Engine
 from cornelgap.forwarding.packets import Forward
+from cornelgap.forwarding.stamps import ConfigStamp, Stamp
 from cornelgap.platform import layout
 from features.proofs.forwarding_desk import ADDRESS, make_target
 
@@ -34,14 +35,14 @@
             Route(f'r{port}', ADDRESS, port, (('search', 1),))
             for port in range(1, routes + 1)
         ],
-        1,
+        ConfigStamp(1),
         0,
     )
     listed = {
         target.name: (target, 1)
         for target in (make_target(number) for number in range(1, targets + 1))
     }
-    directory.adopt_targets(listed, 1, 0, 0)
+    directory.adopt_targets(listed, Stamp(revision=1), 0, 0)
     engine = Engine('a', random.Random(1))
     engine.adopt_view(directory.make_view(0))
     engine.note_fresh(0)
--- a/cornelgap/forwarding/beats.py
+++ b/cornelgap/forwarding/beats.py
@@ -58,13 +58,17 @@
         )
         beat.hub = self._neighbours.is_hub
         if directory.complete:
-            beat.routes_revision = directory.routes_revision
+            beat.routes_version = directory.routes_stamp.version
+            beat.routes_era = directory.routes_stamp.era
+            beat.routes_revision = directory.routes_stamp.revision
             beat.routes_age = _round_age(now - directory.routes_as_of)
-            beat.targets_revision = directory.targets_revision
+            beat.targets_era = directory.targets_stamp.era
+            beat.targets_revision = directory.targets_stamp.revision
             beat.targets_changed = directory.targets_changed
             beat.targets_age = _round_age(now - directory.targets_as_of)
             beat.drained_zones = sorted(directory.drained_zones)
-            beat.drained_revision = directory.drained_revision
+            beat.drained_era = directory.drained_stamp.era
+            beat.drained_revision = directory.drained_stamp.revision
         if beat.hello or zone != own.zone:
             beat.members = self._neighbours.list_members(now, zone)
         return beat
--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -9,6 +9,12 @@
 from msgspec import Struct, field
 from msgspec.structs import replace
 
+from cornelgap.forwarding.stamps import (
+    UNKNOWN,
+    UNKNOWN_CONFIG,
+    Stamp,
+)
+
 REGISTRATION_RETURN_S = 2.5
 """Time after an outage of the store during which a vanished registration
 may come back.  Targets re-register within about two seconds of the store's
@@ -140,13 +146,15 @@
     return folded or 0xFFFFFFFF
 
 
-def is_newer(revision, known):
-    """Say whether a fact replaces a known one, by the store's revisions.
+def is_newer(place, known):
+    """Say whether a fact replaces a known one, by the store's history.
 
     A list that a lagging replica served, or a watch that repeats itself,
     must not bring back what a later version dropped.
+
+    :param place: stamp of the fact; within one era, its revision.
     """
-    return revision > known
+    return place > known
 
 
 def takes_flows(target):
@@ -190,7 +198,9 @@
 class Directory:
     """Collects facts and makes views of them.
 
-    Revisions are the store's; time is an argument, in seconds.
+    Revisions and eras are the store's; time is an argument, in seconds.
+    Targets are known as of one era, and the revisions of their entries are
+    of that era.
     """
 
     def __init__(self, wait_s=1.0):
@@ -199,12 +209,12 @@
         :param wait_s: longest healthy wait between two confirmations.
         """
         self._outage_s = wait_s + OUTAGE_SLACK_S
-        self.routes_revision = 0
-        self.targets_revision = 0
+        self.routes_stamp = UNKNOWN_CONFIG
+        self.targets_stamp = UNKNOWN
         self.targets_changed = 0
         self.routes_as_of = None
         self.targets_as_of = None
-        self.drained_revision = 0
+        self.drained_stamp = UNKNOWN
         self.drained_zones = frozenset()
         self.warmups = {}
         self._returned = {}
@@ -221,17 +231,18 @@
         """Say whether both routes and targets have been learnt."""
         return self.routes_as_of is not None and self.targets_as_of is not None
 
-    def adopt_routes(self, routes, revision, as_of, warmups=None):
+    def adopt_routes(self, routes, stamp, as_of, warmups=None):
         """Put a whole configuration in force if it is newer.
 
         :param routes: iterable of :class:`Route`.
+        :param stamp: :class:`~cornelgap.forwarding.stamps.ConfigStamp`.
         :param warmups: :class:`Warmup` by service; None if it is not told.
         :returns: whether anything changed.
         """
         self.routes_as_of = max(as_of, self.routes_as_of or as_of)
-        if not is_newer(revision, self.routes_revision):
+        if not is_newer(stamp, self.routes_stamp):
             return False
-        self.routes_revision = revision
+        self.routes_stamp = stamp
         fresh = {(route.address, route.port): route for route in routes}
         self._dropped |= self._routes.keys()
         self._dropped -= fresh.keys()
@@ -240,16 +251,17 @@
             self.warmups = warmups
         return True
 
-    def adopt_drained(self, zones, revision, now):
+    def adopt_drained(self, zones, stamp, now):
         """Put the orders to drain zones in force if they are newer.
 
         :param zones: names of all zones that are to be drained.
-        :param revision: store revision as of which these are all.
+        :param stamp: :class:`~cornelgap.forwarding.stamps.Stamp` as of which
+            these are all.
         :returns: whether anything changed.
         """
-        if not is_newer(revision, self.drained_revision):
+        if not is_newer(stamp, self.drained_stamp):
             return False
-        self.drained_revision = revision
+        self.drained_stamp = stamp
         drained = frozenset(zones)
         if drained == self.drained_zones:
             return False
@@ -266,16 +278,22 @@
         if self.routes_as_of is not None:
             self.routes_as_of = max(as_of, self.routes_as_of)
 
-    def adopt_targets(self, targets, revision, as_of, now):
+    def adopt_targets(self, targets, stamp, as_of, now):
         """Replace all targets by a newer complete list.
 
         :param targets: dict name -> (Target, revision of its entry).
+        :param stamp: :class:`~cornelgap.forwarding.stamps.Stamp` as of which
+            these are all.
         :returns: whether anything changed.
         """
+        if stamp.era < self.targets_stamp.era:
+            return False
         self.confirm_targets(as_of, now)
-        if revision < self.targets_revision:
+        if stamp < self.targets_stamp:
             return False
-        self.targets_revision = revision
+        if stamp.era > self.targets_stamp.era:
+            self._forget_revisions()
+        self.targets_stamp = stamp
         missing = self._targets.keys() - targets.keys()
         changed = bool(missing)
         for name in missing:
@@ -284,21 +302,28 @@
             changed |= self._put(name, target, entry_revision)
         # The list covers all that happened up to its revision, so single
         # removals before it need not be remembered any more.
-        self._listed_at = revision
+        self._listed_at = stamp.revision
         for name in self._seen_at.keys() - targets.keys():
             self._seen_at.pop(name)
         if changed:
             # A list does not say when something vanished; up to its own
             # revision is the safe answer.
-            self.targets_changed = revision
+            self.targets_changed = stamp.revision
         return changed
 
-    def apply_targets(self, changes, revision, as_of, now):
-        """Apply changes that follow the known revision, in order.
+    def apply_targets(self, changes, stamp, as_of, now):
+        """Apply changes that follow the known ones, in order.
+
+        Those of another era follow on nothing that is known: only a list
+        leads from one era to the next.
 
         :param changes: tuples (name, Target or None, revision of entry).
+        :param stamp: :class:`~cornelgap.forwarding.stamps.Stamp` that is
+            known with them.
         :returns: whether anything changed.
         """
+        if stamp.era != self.targets_stamp.era:
+            return False
         self.confirm_targets(as_of, now)
         changed = False
         for name, target, entry_revision in changes:
@@ -306,9 +331,9 @@
                 changed |= self._remove(name, entry_revision, now)
             else:
                 changed |= self._put(name, target, entry_revision)
-        self.targets_revision = max(revision, self.targets_revision)
+        self.targets_stamp = max(stamp, self.targets_stamp)
         if changed:
-            self.targets_changed = self.targets_revision
+            self.targets_changed = self.targets_stamp.revision
         return changed
 
     def confirm_targets(self, as_of, now):
@@ -377,9 +402,9 @@
             return float('inf')
         return now - min(self.routes_as_of, self.targets_as_of)
 
-    def knows_later(self, name, revision):
-        """Say whether something later than a revision is known of a target."""
-        return revision < self._find_seen(name)
+    def knows_later(self, name, stamp):
+        """Say whether a target is known as of later than a stamp."""
+        return stamp < Stamp(self.targets_stamp.era, self._find_seen(name))
 
     def list_routes(self):
         """Return all routes, to tell others."""
@@ -392,6 +417,12 @@
             for name, target in self._targets.items()
         }
 
+    def _forget_revisions(self):
+        """Forget the numbers of an era that has ended."""
+        self._seen_at.clear()
+        self._listed_at = 0
+        self.targets_changed = 0
+
     def _put(self, name, target, revision):
         if not is_newer(revision, self._find_seen(name)):
             return False
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -176,7 +176,7 @@
         self._spread(intake.take_list(self._directory, fact, self._turn_at))
 
     def _take_changes(self, fact):
-        since = self._directory.targets_revision
+        since = self._directory.targets_stamp.revision
         changed = intake.take_changes(self._directory, fact, self._turn_at)
         self._spread(changed, fact.changes if changed else (), since)
 
@@ -378,10 +378,16 @@
         directory = self._directory
         gauges = {
             'directory_revision': {
-                'routes': directory.routes_revision,
-                'targets': directory.targets_revision,
-                'drained_zones': directory.drained_revision,
+                'routes': directory.routes_stamp.revision,
+                'targets': directory.targets_stamp.revision,
+                'drained_zones': directory.drained_stamp.revision,
             },
+            'directory_era': {
+                'routes': directory.routes_stamp.era,
+                'targets': directory.targets_stamp.era,
+                'drained_zones': directory.drained_stamp.era,
+            },
+            'config_version': directory.routes_stamp.version,
             'targets': len(directory.list_targets()),
             'follows_store': int(self._following.active),
             'instances': self._neighbours.count_zone(),
--- a/cornelgap/forwarding/directory_log.py
+++ b/cornelgap/forwarding/directory_log.py
@@ -16,7 +16,9 @@
         'directory: routes adopted',
         extra={
             'from': origin,
-            'revision': directory.routes_revision,
+            'version': directory.routes_stamp.version,
+            'era': directory.routes_stamp.era,
+            'revision': directory.routes_stamp.revision,
             'routes': len(directory.list_routes()),
             'age_s': round(now - directory.routes_as_of, 3),
         },
@@ -29,7 +31,8 @@
         'directory: drained zones changed',
         extra={
             'from': origin,
-            'revision': directory.drained_revision,
+            'era': directory.drained_stamp.era,
+            'revision': directory.drained_stamp.revision,
             'zones': sorted(directory.drained_zones),
         },
     )
@@ -41,7 +44,8 @@
         'directory: targets listed',
         extra={
             'from': origin,
-            'revision': directory.targets_revision,
+            'era': directory.targets_stamp.era,
+            'revision': directory.targets_stamp.revision,
             'targets': len(directory.list_targets()),
         },
     )
@@ -64,12 +68,12 @@
         )
 
 
-def log_refused(kind, origin, revision, known, target=''):
+def log_refused(kind, origin, stamp, known, target=''):
     """Log that a fact was refused as older than what is known.
 
     :param kind: ``routes``, ``targets`` or ``drained_zones``.
-    :param revision: revision of the fact.
-    :param known: revision that is known.
+    :param stamp: place of the fact in the store's history.
+    :param known: place of what is known.
     :param target: name of the target, if the fact is about one.
     """
     _LOG.info(
@@ -77,8 +81,10 @@
         extra={
             'kind': kind,
             'from': origin,
-            'revision': revision,
-            'known': known,
+            'era': stamp.era,
+            'revision': stamp.revision,
+            'known_era': known.era,
+            'known': known.revision,
             'target': target,
         },
     )
--- a/cornelgap/forwarding/facts.py
+++ b/cornelgap/forwarding/facts.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from cornelgap.forwarding.stamps import ConfigStamp, Stamp
+
 WAKE_S = 0.75
 """A turn of an actor that begins so long after the last one means that the
 process stood still: its tick is due every quarter of a second.  What lies
@@ -14,13 +16,14 @@
     """Message: the configuration as of some moment.
 
     :param routes: list of routes; None if it is the one already known.
+    :param stamp: place in the store's history; None without routes.
     :param as_of: time at which this was the newest, process clock seconds.
     :param warmups: :class:`~cornelgap.forwarding.directory.Warmup` by
         service.
     """
 
     routes: list | None
-    revision: int
+    stamp: ConfigStamp | None
     as_of: float
     warmups: dict | None = None
 
@@ -28,21 +31,22 @@
 class ZonesDrained(Struct, frozen=True):
     """Message: all zones that operators have ordered to be drained.
 
-    :param revision: store revision as of which these are all.
+    :param stamp: place in the store's history as of which these are all.
     """
 
     zones: frozenset
-    revision: int
+    stamp: Stamp
 
 
 class TargetsListed(Struct, frozen=True):
     """Message: all targets as of some moment.
 
     :param targets: dict name -> (target, revision of its entry).
+    :param stamp: place in the store's history as of which these are all.
     """
 
     targets: dict
-    revision: int
+    stamp: Stamp
     as_of: float
 
 
@@ -50,10 +54,11 @@
     """Message: what has changed since the last message, perhaps nothing.
 
     :param changes: tuples (name, target or None, revision of its entry).
+    :param stamp: place in the store's history that is known with them.
     """
 
     changes: tuple
-    revision: int
+    stamp: Stamp
     as_of: float
 
 
--- a/cornelgap/forwarding/intake.py
+++ b/cornelgap/forwarding/intake.py
@@ -6,6 +6,7 @@
 
 from cornelgap.forwarding import directory_log
 from cornelgap.forwarding.news import News, compare_beat
+from cornelgap.forwarding.stamps import Stamp
 
 STORE = 'store'
 """Origin of facts that this instance has read itself."""
@@ -17,31 +18,29 @@
         directory.confirm_routes(fact.as_of)
         return False
     changed = directory.adopt_routes(
-        fact.routes, fact.revision, fact.as_of, fact.warmups
+        fact.routes, fact.stamp, fact.as_of, fact.warmups
     )
     if changed:
         directory_log.log_routes(directory, STORE, now)
-    elif fact.revision < directory.routes_revision:
+    elif fact.stamp < directory.routes_stamp:
         directory_log.log_refused(
-            'routes', STORE, fact.revision, directory.routes_revision
+            'routes', STORE, fact.stamp, directory.routes_stamp
         )
     return changed
 
 
 def take_drained(directory, fact, now):
     """Take :class:`~cornelgap.forwarding.facts.ZonesDrained`."""
-    return _adopt_drained(directory, fact.zones, fact.revision, STORE, now)
+    return _adopt_drained(directory, fact.zones, fact.stamp, STORE, now)
 
 
 def take_list(directory, fact, now):
     """Take :class:`~cornelgap.forwarding.facts.TargetsListed`."""
-    if fact.revision < directory.targets_revision:
+    if fact.stamp < directory.targets_stamp:
         directory_log.log_refused(
-            'targets', STORE, fact.revision, directory.targets_revision
+            'targets', STORE, fact.stamp, directory.targets_stamp
         )
-    changed = directory.adopt_targets(
-        fact.targets, fact.revision, fact.as_of, now
-    )
+    changed = directory.adopt_targets(fact.targets, fact.stamp, fact.as_of, now)
     if changed:
         directory_log.log_targets(directory, STORE)
     return changed
@@ -49,14 +48,13 @@
 
 def take_changes(directory, fact, now):
     """Take :class:`~cornelgap.forwarding.facts.TargetsChanged`."""
-    taken, refused = _split_changes(directory, fact.changes)
-    changed = directory.apply_targets(
-        fact.changes, fact.revision, fact.as_of, now
-    )
+    taken, refused = _split_changes(directory, fact)
+    changed = directory.apply_targets(fact.changes, fact.stamp, fact.as_of, now)
     directory_log.log_changes(taken, STORE)
     for name, _, revision in refused:
+        stamp = Stamp(fact.stamp.era, revision)
         directory_log.log_refused(
-            'targets', STORE, revision, directory.targets_revision, name
+            'targets', STORE, stamp, directory.targets_stamp, name
         )
     return changed
 
@@ -82,13 +80,13 @@
     drained_changed = _adopt_drained(
         directory,
         snapshot.drained_zones,
-        snapshot.drained_revision,
+        snapshot.drained_stamp,
         message.host,
         now,
     )
     routes_changed = directory.adopt_routes(
         snapshot.routes,
-        snapshot.routes_revision,
+        snapshot.routes_stamp,
         message.sent_at - snapshot.routes_age,
         snapshot.warmups,
     )
@@ -96,7 +94,7 @@
         directory_log.log_routes(directory, message.host, now)
     targets_changed = directory.adopt_targets(
         snapshot.targets,
-        snapshot.targets_revision,
+        snapshot.targets_stamp,
         message.sent_at - snapshot.targets_age,
         now,
     )
@@ -105,23 +103,24 @@
     return drained_changed or routes_changed or targets_changed
 
 
-def _adopt_drained(directory, zones, revision, origin, now):
-    if revision < directory.drained_revision:
+def _adopt_drained(directory, zones, stamp, origin, now):
+    if stamp < directory.drained_stamp:
         directory_log.log_refused(
-            'drained_zones', origin, revision, directory.drained_revision
+            'drained_zones', origin, stamp, directory.drained_stamp
         )
-    changed = directory.adopt_drained(zones, revision, now)
+    changed = directory.adopt_drained(zones, stamp, now)
     if changed:
         directory_log.log_drained(directory, origin)
     return changed
 
 
-def _split_changes(directory, changes):
+def _split_changes(directory, fact):
     """Split changes into those that are news and those that look older."""
     taken = []
     refused = []
-    for change in changes:
+    for change in fact.changes:
         name, _, revision = change
-        is_old = directory.knows_later(name, revision)
+        stamp = Stamp(fact.stamp.era, revision)
+        is_old = directory.knows_later(name, stamp)
         (refused if is_old else taken).append(change)
     return taken, refused
--- a/cornelgap/forwarding/metric_page.py
+++ b/cornelgap/forwarding/metric_page.py
@@ -56,6 +56,17 @@
         'Store revision up to which facts are known.',
         ('kind',),
     ),
+    Metric(
+        f'{_PREFIX}directory_era',
+        GAUGE,
+        'Returns of the store from a copy, as of which facts are known.',
+        ('kind',),
+    ),
+    Metric(
+        f'{_PREFIX}config_version',
+        GAUGE,
+        "The operator's number of the configuration in force.",
+    ),
     Metric(
         f'{_PREFIX}targets',
         GAUGE,
--- a/cornelgap/forwarding/news.py
+++ b/cornelgap/forwarding/news.py
@@ -1,8 +1,8 @@
 """What another instance's beat means for the own directory.
 
-A beat states revisions and ages, and small changes in full.  Equal
-revisions confirm what is known, changes that follow on it are applied, and
-whoever is further behind has to fetch a snapshot.
+A beat states stamps and ages, and small changes in full.  Equal stamps
+confirm what is known, changes that follow on it are applied, and whoever is
+further behind has to fetch a snapshot.
 """
 
 import enum
@@ -36,9 +36,9 @@
 def _compare_routes(directory, beat, now):
     if beat.routes_age is None:
         return News.NONE
-    if beat.routes_revision > directory.routes_revision:
+    if beat.routes_stamp > directory.routes_stamp:
         return News.BEHIND
-    if beat.routes_revision < directory.routes_revision:
+    if beat.routes_stamp < directory.routes_stamp:
         return News.NONE
     directory.confirm_routes(now - beat.routes_age)
     return News.CONFIRMED
@@ -46,8 +46,10 @@
 
 def compare_drained(directory, beat, now):
     """Take the orders to drain zones, which each beat holds in full."""
+    if not beat.drained_revision:
+        return News.NONE
     changed = directory.adopt_drained(
-        beat.drained_zones, beat.drained_revision, now
+        beat.drained_zones, beat.drained_stamp, now
     )
     return News.CHANGED if changed else News.NONE
 
@@ -57,12 +59,15 @@
         return News.NONE
     if directory.targets_as_of is None:
         return News.BEHIND
-    known = directory.targets_revision
+    if beat.targets_stamp.era != directory.targets_stamp.era:
+        is_ahead = beat.targets_stamp > directory.targets_stamp
+        return News.BEHIND if is_ahead else News.NONE
+    known = directory.targets_stamp.revision
     as_of = now - beat.targets_age
     if beat.targets_changed <= known <= beat.targets_revision:
-        directory.apply_targets((), beat.targets_revision, as_of, now)
+        directory.apply_targets((), beat.targets_stamp, as_of, now)
         return News.CONFIRMED
     if changes and beat.since <= known < beat.targets_revision:
-        directory.apply_targets(changes, beat.targets_revision, as_of, now)
+        directory.apply_targets(changes, beat.targets_stamp, as_of, now)
         return News.CHANGED
     return News.BEHIND if beat.targets_changed > known else News.NONE
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -23,6 +23,7 @@
     Warmup,
     make_cookie,
 )
+from cornelgap.forwarding.stamps import ConfigStamp, Stamp
 
 VERSION = 1
 TAG_BYTES = 16
@@ -53,12 +54,16 @@
     :param hello: whether the sender wants a beat back at once.
     :param hub: whether it tells the others of its zone.
     :param following: whether it follows the store.
-    :param routes_revision: revision of its configuration.
+    :param routes_version: the operator's number of its configuration.
+    :param routes_era: the store's era in which that was written.
+    :param routes_revision: the store's revision of it.
     :param routes_age: seconds since that was known to be the newest; None
         if it knows none.
-    :param targets_revision: store revision up to which it knows all targets.
+    :param targets_era: the store's era as of which it knows all targets.
+    :param targets_revision: store revision up to which it knows them.
     :param targets_changed: revision of the last change of a target.
     :param drained_zones: names of the zones that operators drain.
+    :param drained_era: the store's era as of which these are all.
     :param drained_revision: store revision as of which these are all; 0 if
         the sender does not tell.
     :param since: with ``changes``: revision that these follow on.
@@ -86,12 +91,16 @@
     hub: bool = False
     following: bool = False
     leaving: bool = False
+    routes_version: int = 0
+    routes_era: int = 0
     routes_revision: int = 0
     routes_age: float | None = None
+    targets_era: int = 0
     targets_revision: int = 0
     targets_changed: int = 0
     targets_age: float | None = None
     drained_zones: list = field(default_factory=list)
+    drained_era: int = 0
     drained_revision: int = 0
     since: int = 0
     changes: list = field(default_factory=list)
@@ -104,6 +113,23 @@
     zone_outcomes: dict = field(default_factory=dict)
     members: list = field(default_factory=list)
 
+    @property
+    def routes_stamp(self):
+        """Place of the sender's configuration in the store's history."""
+        return ConfigStamp(
+            self.routes_version, self.routes_era, self.routes_revision
+        )
+
+    @property
+    def targets_stamp(self):
+        """Place in the store's history as of which it knows all targets."""
+        return Stamp(self.targets_era, self.targets_revision)
+
+    @property
+    def drained_stamp(self):
+        """Place as of which it knows all zones that are drained."""
+        return Stamp(self.drained_era, self.drained_revision)
+
 
 _ORDER = tuple(item.name for item in fields(Beat))
 _KNOWN = frozenset(_ORDER)
@@ -115,9 +141,13 @@
 _NUMBERS = (
     'boot',
     'capacity',
+    'routes_version',
+    'routes_era',
     'routes_revision',
+    'targets_era',
     'targets_revision',
     'targets_changed',
+    'drained_era',
     'drained_revision',
     'since',
 )
@@ -228,7 +258,9 @@
 def pack_snapshot(directory, now, key):
     """Write all that a directory knows, for an instance that is behind."""
     content = {
-        'routes_revision': directory.routes_revision,
+        'routes_version': directory.routes_stamp.version,
+        'routes_era': directory.routes_stamp.era,
+        'routes_revision': directory.routes_stamp.revision,
         'routes_age': now - directory.routes_as_of,
         'routes': [
             [route.name, route.address, route.port, route.shares]
@@ -239,8 +271,10 @@
             for service, warmup in directory.warmups.items()
         },
         'drained_zones': sorted(directory.drained_zones),
-        'drained_revision': directory.drained_revision,
-        'targets_revision': directory.targets_revision,
+        'drained_era': directory.drained_stamp.era,
+        'drained_revision': directory.drained_stamp.revision,
+        'targets_era': directory.targets_stamp.era,
+        'targets_revision': directory.targets_stamp.revision,
         'targets_changed': directory.targets_changed,
         'targets_age': now - directory.targets_as_of,
         'targets': [
@@ -258,16 +292,16 @@
         by an instance of an earlier version.
     """
 
-    routes_revision: int
+    routes_stamp: ConfigStamp
     routes_age: float
     routes: list
-    targets_revision: int
+    targets_stamp: Stamp
     targets_changed: int
     targets_age: float
     targets: dict
     warmups: dict | None = None
     drained_zones: frozenset = frozenset()
-    drained_revision: int = 0
+    drained_stamp: Stamp = Stamp()
 
 
 def unpack_snapshot(raw, now, key):
@@ -282,19 +316,23 @@
         content = _parse(body)
         changes = [load_change(item, now) for item in content['targets']]
         return Snapshot(
-            content['routes_revision'],
+            ConfigStamp(
+                int(content.get('routes_version', 0)),
+                int(content.get('routes_era', 0)),
+                int(content['routes_revision']),
+            ),
             content['routes_age'],
             [
                 Route(name, address, port, tuple(map(tuple, shares)))
                 for name, address, port, shares in content['routes']
             ],
-            content['targets_revision'],
+            _load_stamp(content, 'targets'),
             content['targets_changed'],
             content['targets_age'],
             {name: (target, revision) for name, target, revision in changes},
             _load_warmups(content.get('warmups')),
             frozenset(map(str, content.get('drained_zones', ()))),
-            int(content.get('drained_revision', 0)),
+            _load_stamp(content, 'drained'),
         )
     except _MALFORMED as exc:
         raise CodedError(Code.PKT_FIELD, repr(exc), 'snapshot') from exc
@@ -324,6 +362,14 @@
     return name, target, revision
 
 
+def _load_stamp(content, kind):
+    # An instance of an earlier version tells no era.
+    return Stamp(
+        int(content.get(f'{kind}_era', 0)),
+        int(content.get(f'{kind}_revision', 0)),
+    )
+
+
 def _load_warmups(content):
     if content is None:
         return None
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -82,6 +82,19 @@
     )
 
 
+def load_version(spec):
+    """Load the operator's number of a configuration.
+
+    :returns: tuple (number, list of :class:`CodedError`).  One that cannot
+        be read counts as 0, so that it replaces none that is known.
+    """
+    try:
+        return check_count(spec['version'], MAX_REVISION), []
+    except _MALFORMED as exc:
+        place = f'{CONFIG_KIND}/{CONFIG_NAME} version'
+        return 0, [CodedError(Code.CFG_BAD_VALUE, repr(exc), place)]
+
+
 def load_warmups(spec):
     """Load how the services' targets warm up.
 
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -17,7 +17,9 @@
     ZonesDrained,
     read_clock,
 )
+from cornelgap.forwarding.stamps import ConfigStamp, Stamp
 from cornelgap.platform import objects
+from cornelgap.platform.store import HistoryGone
 
 ANSWER_S = 0.5
 """An answer that brings changes was given at most so long before it came:
@@ -64,19 +66,22 @@
             if found is not None:
                 name, target, revision = found
                 targets[name] = (target, revision)
-        yield TargetsListed(targets, listing.revision, sent)
+        stamp = Stamp(listing.era, listing.revision)
+        yield TargetsListed(targets, stamp, sent)
         yield from self._read_policy(stale=is_first)
 
     def watch_facts(self, wait_s):
         """Wait for changes.
 
         :returns: messages for the directory.
+        :raises HistoryGone: if the store has come back from a copy.
         :raises StoreError: if a call brought no answer.
         """
         sent = read_clock()
         found = self._client.watch_objects(
             objects.TARGETS_KIND, self._revision, wait_s
         )
+        self._check_era(found.era)
         if found.events:
             as_of = max(sent, read_clock() - ANSWER_S)
         else:
@@ -85,10 +90,11 @@
         changes = self._read_changes(found.events)
         told = {revision for _, _, revision in changes}
         self._revision = max(found.revision, self._revision)
-        changed = TargetsChanged(changes, found.revision, as_of)
+        stamp = Stamp(found.era, found.revision)
+        changed = TargetsChanged(changes, stamp, as_of)
         if is_explained(self._policy_revision, found.revision, told):
             self._policy_revision = found.revision
-            return [RoutesKnown(None, 0, as_of), changed]
+            return [RoutesKnown(None, None, as_of), changed]
         return [*self._read_policy(), changed]
 
     def close(self):
@@ -104,13 +110,14 @@
         other instances or the first watch bring what has come since.
         """
         listing = self._client.list_objects(objects.DRAINED_KIND, stale)
+        self._check_era(listing.era)
         zones, errors = objects.load_drained_zones(listing.objects)
         self._log_errors(errors)
         revision = listing.revision
         if not revision and not stale:
             # No such order was ever given, up to what was listed before.
             revision = self._revision
-        yield ZonesDrained(zones, revision)
+        yield ZonesDrained(zones, Stamp(listing.era, revision))
         yield self._read_routes()
         # A zone may have been drained while the routes were read.
         self._policy_revision = revision
@@ -118,17 +125,22 @@
     def _read_routes(self):
         sent = read_clock()
         listing = self._client.list_objects(objects.CONFIG_KIND)
+        self._check_era(listing.era)
         main = [
             item
             for item in listing.objects
             if item['meta']['name'] == objects.CONFIG_NAME
         ]
         if not main:
-            return RoutesKnown(None, 0, sent)
-        routes, errors = objects.load_routes(main[0]['spec'])
-        warmups, more_errors = objects.load_warmups(main[0]['spec'])
-        self._log_errors(errors + more_errors)
-        return RoutesKnown(routes, main[0]['meta']['revision'], sent, warmups)
+            return RoutesKnown(None, None, sent)
+        spec = main[0]['spec']
+        version, errors = objects.load_version(spec)
+        routes, route_errors = objects.load_routes(spec)
+        warmups, warmup_errors = objects.load_warmups(spec)
+        self._log_errors(errors + route_errors + warmup_errors)
+        revision = main[0]['meta']['revision']
+        stamp = ConfigStamp(version, listing.era, revision)
+        return RoutesKnown(routes, stamp, sent, warmups)
 
     def _read_changes(self, events):
         changes = []
@@ -151,6 +163,17 @@
             return None
         return found.name, found.target or UNREADABLE, found.revision
 
+    def _check_era(self, era):
+        """Check that an answer belongs to the history that is followed.
+
+        A watch from a revision of the era before succeeds once the store has
+        given that number out again, and never tells what came below it.
+
+        :raises HistoryGone: if it does not.
+        """
+        if era != self._era:
+            raise HistoryGone('the store came back from a copy', answered=True)
+
     def _note_era(self, era):
         if era == self._era:
             return
--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -108,8 +108,13 @@
         fixed = {'allow_stale': 1} if stale else {}
         query = fixed
         first_revision = None
+        first_era = None
         for _ in range(MAX_PAGES):
             body = self._call('GET', kind, query)
+            if first_era is None:
+                first_era = self._era
+            if self._era != first_era:
+                raise HistoryGone('a listing of two eras', answered=True)
             if body is None:
                 # No object of this kind was ever made.
                 return Listing(objects, first_revision or 0, self._era)
--- a/features/proofs/drain_stories.py
+++ b/features/proofs/drain_stories.py
@@ -156,7 +156,7 @@
     directory = teller.directory
     beat = peers.Beat('n1', 'a', '10.0.0.1', 1)
     beat.drained_zones = sorted(directory.drained_zones)
-    beat.drained_revision = directory.drained_revision
+    beat.drained_revision = directory.drained_stamp.revision
     read = peers.decode_beat(peers.encode_beat(beat, KEY), KEY)
     compare_beat(desk.directory, read, [], desk.now)
     desk.show()
@@ -172,7 +172,7 @@
     snapshot = peers.unpack_snapshot(raw, teller.now, KEY)
     directory = Directory()
     directory.adopt_drained(
-        snapshot.drained_zones, snapshot.drained_revision, teller.now
+        snapshot.drained_zones, snapshot.drained_stamp, teller.now
     )
     if directory.drained_zones != {'a'}:
         return ['a snapshot hides that a zone is drained']
--- a/features/proofs/forwarding_desk.py
+++ b/features/proofs/forwarding_desk.py
@@ -16,6 +16,7 @@
 )
 from cornelgap.forwarding.engine import Engine
 from cornelgap.forwarding.packets import Forward, Packet, Reset
+from cornelgap.forwarding.stamps import ConfigStamp, Stamp
 
 ADDRESS = 0xC6120001
 PORT = 443
@@ -83,7 +84,8 @@
         if revision is None:
             self.revision += 1
             revision = self.revision
-        self.directory.adopt_routes(routes, revision, self.now, warmups)
+        stamp = ConfigStamp(revision=revision)
+        self.directory.adopt_routes(routes, stamp, self.now, warmups)
         self.show()
 
     def drain_zones(self, *zones, revision=None):
@@ -91,7 +93,8 @@
         if revision is None:
             self.revision += 1
             revision = self.revision
-        self.directory.adopt_drained(zones, revision, self.now)
+        stamp = Stamp(revision=revision)
+        self.directory.adopt_drained(zones, stamp, self.now)
         self.show()
 
     def set_targets(self, *targets, revision=None):
@@ -100,7 +103,8 @@
             self.revision += 1
             revision = self.revision
         listed = {target.name: (target, revision) for target in targets}
-        self.directory.adopt_targets(listed, revision, self.now, self.now)
+        stamp = Stamp(revision=revision)
+        self.directory.adopt_targets(listed, stamp, self.now, self.now)
         self.show()
 
     def change(self, *changes):
@@ -111,7 +115,8 @@
             gone = isinstance(item, str)
             name = item if gone else item.name
             told.append((name, None if gone else item, self.revision))
-        self.directory.apply_targets(told, self.revision, self.now, self.now)
+        stamp = Stamp(revision=self.revision)
+        self.directory.apply_targets(told, stamp, self.now, self.now)
         self.show()
 
     def confirm(self):
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -14,6 +14,7 @@
 from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding import peer_messages
 from cornelgap.forwarding.packets import Drop
+from cornelgap.forwarding.stamps import Stamp
 from cornelgap.forwarding.target_judge import Evidence
 from cornelgap.platform import layout, sources
 from features.proofs.forwarding_desk import (
@@ -134,7 +135,8 @@
     desk = start_desk(SEARCH[0])
     desk.change(replace(SEARCH[0], draining=True))
     listed = {SEARCH[0].name: (SEARCH[0], 1)}
-    desk.directory.adopt_targets(listed, desk.revision, desk.now, desk.now)
+    stamp = Stamp(revision=desk.revision)
+    desk.directory.adopt_targets(listed, stamp, desk.now, desk.now)
     desk.show()
     if desk.open(40001) is not None:
         return ['a draining target got a flow']
@@ -497,7 +499,8 @@
     source = sources.StoreSource(None)
     found = filter(None, map(source.read, entries.values()))
     listed = {name: (target, revision) for name, target, revision in found}
-    desk.directory.adopt_targets(listed, 9, desk.now, desk.now)
+    stamp = Stamp(revision=9)
+    desk.directory.adopt_targets(listed, stamp, desk.now, desk.now)
     desk.show()
     flow = desk.send(40001, SEARCH[0], ack=2, size=100)
     if got_reset(flow) or get_target(flow) is None:
--- a/features/proofs/restore_world.py
+++ b/features/proofs/restore_world.py
@@ -4,7 +4,10 @@
 its packets: facts go from real calls into the directory.
 """
 
+import random
+
 from cornelgap.forwarding import intake, peer_messages
+from cornelgap.forwarding.beats import BeatSender
 from cornelgap.forwarding.directory import Directory
 from cornelgap.forwarding.facts import (
     RoutesKnown,
@@ -13,6 +16,9 @@
     ZonesDrained,
     read_clock,
 )
+from cornelgap.forwarding.fetcher import SnapshotFetched
+from cornelgap.forwarding.neighbours import Neighbours, Self
+from cornelgap.forwarding.news import News
 from cornelgap.platform.sources import StoreSource
 from cornelgap.platform.store import StoreClient, StoreError
 from standins.object_store import ObjectStore, start_store
@@ -86,6 +92,14 @@
             self.store.put('others', f'o-{number}', {})
 
 
+class _Wire:
+    """Stands for a socket and keeps the last datagram."""
+
+    def sendto(self, raw, _address):
+        """Keep a datagram."""
+        self.raw = raw
+
+
 class Reader:
     """One instance's knowledge.
 
@@ -126,10 +140,34 @@
             target.name for target in view.by_service.get(SERVICE, ())
         )
 
-    def make_snapshot(self):
-        """Return what this instance tells one that is behind."""
-        raw = peer_messages.pack_snapshot(self.directory, self.now, KEY)
-        return peer_messages.unpack_snapshot(raw, self.now, KEY)
+    def list_drained(self):
+        """Return the zones that get no new flow."""
+        return sorted(self.directory.make_view(self.now).drained_zones)
+
+    def hear(self, other):
+        """Take in another instance's beat, and its snapshot if behind.
+
+        :returns: set of :class:`~cornelgap.forwarding.news.News`.
+        """
+        beat = peer_messages.decode_beat(other.make_beat(), KEY)
+        news = intake.take_beat(self.directory, beat, [], self.now)
+        if News.BEHIND in news:
+            raw = peer_messages.pack_snapshot(other.directory, self.now, KEY)
+            snapshot = peer_messages.unpack_snapshot(raw, self.now, KEY)
+            message = SnapshotFetched('10.0.9.1', snapshot, self.now)
+            intake.take_snapshot(self.directory, message, self.now)
+        return news
+
+    def make_beat(self):
+        """Return the datagram by which this instance tells what it knows."""
+        own = Self('n1', 'a', '10.0.9.1', 0)
+        rng = random.Random(1)
+        wire = _Wire()
+        neighbours = Neighbours(own, (), rng)
+        sender = BeatSender(own, 1, self.directory, neighbours, wire, 1)
+        sender.key = KEY
+        sender.send(['10.0.9.2'], 'a', following=True, now=self.now)
+        return wire.raw
 
     def _take(self, facts):
         for fact in facts:
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -20,6 +20,7 @@
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.directory import UNREADABLE, Directory, Route
 from cornelgap.forwarding.packets import Drop, Forward, Reset
+from cornelgap.forwarding.stamps import ConfigStamp, Stamp
 from cornelgap.platform import layout, objects
 from cornelgap.platform.settings import load_node_settings
 from features.proofs.cold_world import ColdWorld
@@ -52,8 +53,11 @@
     hello=st.booleans(),
     hub=st.booleans(),
     following=st.booleans(),
+    routes_version=words,
+    routes_era=words,
     routes_revision=words,
     routes_age=ages,
+    targets_era=words,
     targets_revision=words,
     targets_changed=words,
     targets_age=ages,
@@ -203,13 +207,15 @@
     )
     def search(some_routes, some_targets):
         told = Directory()
-        told.adopt_routes(some_routes, 7, 1)
+        told.adopt_routes(some_routes, ConfigStamp(7, 2, 9), 1)
         listed = {one.name: (one, 5) for one in some_targets}
-        told.adopt_targets(listed, 8, 2, 2)
+        told.adopt_targets(listed, Stamp(2, 8), 2, 2)
         raw = peers.pack_snapshot(told, 3, KEY)
         snapshot = peers.unpack_snapshot(raw, 0, KEY)
         assert snapshot.routes == some_routes
         assert snapshot.targets == listed
+        assert snapshot.routes_stamp == ConfigStamp(7, 2, 9)
+        assert snapshot.targets_stamp == Stamp(2, 8)
         assert (snapshot.routes_age, snapshot.targets_age) == (2, 1)
 
     search()
@@ -225,8 +231,8 @@
     @vary(st.lists(entry, max_size=30))
     def search(entries):
         directory = Directory()
-        directory.adopt_routes([Route('r', 1, 1, ())], 1, 0)
-        directory.adopt_targets({}, 0, 0, 0)
+        directory.adopt_routes([Route('r', 1, 1, ())], ConfigStamp(1), 0)
+        directory.adopt_targets({}, Stamp(), 0, 0)
         naive = {}
         for number, revision, state in entries:
             target = make_target(number, draining=state == 'd')
@@ -236,7 +242,8 @@
             if revision > known[0] or (gone and revision == known[0]):
                 naive[target.name] = (revision, None if gone else target)
             change = (target.name, None if gone else target, revision)
-            directory.apply_targets([change], revision, 0, 0)
+            stamp = Stamp(revision=revision)
+            directory.apply_targets([change], stamp, 0, 0)
         expected = [one for _, one in naive.values() if one is not None]
         view = directory.make_view(0)
         held = [one for one, _ in directory.list_targets().values()]
@@ -253,12 +260,14 @@
 def check_view(context):
     directory = Directory()
     route = Route('r', 1, 443, (('search', 1),))
-    directory.adopt_routes([route], 1, 0)
+    directory.adopt_routes([route], ConfigStamp(1), 0)
     target = make_target(1)
-    directory.adopt_targets({target.name: (target, 1)}, 1, 0, 0)
+    listed = {target.name: (target, 1)}
+    directory.adopt_targets(listed, Stamp(revision=1), 0, 0)
     view = directory.make_view(0)
-    directory.adopt_routes([], 2, 0)
-    directory.apply_targets([(target.name, None, 3)], 3, 0, 0)
+    directory.adopt_routes([], ConfigStamp(2), 0)
+    gone = (target.name, None, 3)
+    directory.apply_targets([gone], Stamp(revision=3), 0, 0)
     assert view.routes == {(1, 443): route}
     assert not view.dropped
     assert view.by_cookie == {1: target}
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -22,6 +22,7 @@
     Follower,
     ListOnce,
 )
+from cornelgap.forwarding.stamps import Stamp
 from cornelgap.kernel.service import Service
 from cornelgap.platform.keys import learn_key
 from cornelgap.platform.sources import StoreSource
@@ -260,13 +261,14 @@
         self._enough = enough
 
     def list_facts(self):
-        return [TargetsListed({}, 1, 0)]
+        return [TargetsListed({}, Stamp(revision=1), 0)]
 
     def watch_facts(self, wait_s):
         self.waits.append(wait_s)
         if len(self.waits) == 3:
             self._enough.set()
-        return [TargetsChanged((('i-1', None, 2),), 2, 0)]
+        changes = (('i-1', None, 2),)
+        return [TargetsChanged(changes, Stamp(revision=2), 0)]
 
     def close(self):
         """Nothing is open."""
@@ -545,12 +547,12 @@
 @when('an operator drains zone "{zone}" and a replica knows no such orders')
 def drain_unheard(context, zone):
     order_drain(context, zone)
-    answer_stale(context, Listing([], 0))
+    answer_stale(context, Listing([], 0, context.store.era))
 
 
 @then('what it tells of drained zones is as of no revision')
 def check_no_revision(context):
-    assert not pick(context.facts, ZonesDrained).revision
+    assert not pick(context.facts, ZonesDrained).stamp.revision
 
 
 @then('its first call for orders was content with an old answer')
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -6,6 +6,7 @@
 
 from cornelgap.forwarding import intake
 from cornelgap.forwarding.facts import TargetsChanged
+from cornelgap.forwarding.stamps import Stamp
 from features.proofs.restore_world import Reader, World, make_name
 
 
@@ -45,9 +46,8 @@
     directory = context.reader.directory
     targets = directory.list_targets()
     target, revision = targets[make_name(1)]
-    old = TargetsChanged(
-        ((target.name, target, revision - 1),), revision - 1, 0
-    )
+    stamp = Stamp(directory.targets_stamp.era, revision - 1)
+    old = TargetsChanged(((target.name, target, stamp.revision),), stamp, 0)
     context.lines.records.clear()
     intake.take_changes(directory, old, context.reader.now)
 
@@ -138,3 +138,46 @@
 def check_drained(context, zone):
     view = context.reader.directory.make_view(context.reader.now)
     assert view.drained_zones == {zone}, view.drained_zones
+
+
+@given('another instance that has read it')
+def start_other(context):
+    context.other = Reader(context.world)
+
+
+@when('another instance starts')
+def start_late(context):
+    context.other = Reader(context.world)
+
+
+@when('the store makes {count:d} changes of others')
+def write_others(context, count):
+    context.world.write_other(count)
+
+
+@when('the instance hears the other one')
+def hear_other(context):
+    context.news = context.reader.hear(context.other)
+
+
+@when('the other one hears the instance')
+def hear_back(context):
+    context.news = context.other.hear(context.reader)
+
+
+@when('the other instance follows on')
+def follow_other(context):
+    context.other.follow()
+    context.other.follow()
+
+
+@then('the other one has routes to ports {ports}')
+def check_other_ports(context, ports):
+    found = context.other.list_ports()
+    assert found == read_numbers(ports), found
+
+
+@then("the other one's new flows go to target {number:d} only")
+def check_other_open(context, number):
+    found = context.other.list_open()
+    assert found == [make_name(number)], found
--- a/features/store_restores.feature
+++ b/features/store_restores.feature
@@ -38,3 +38,61 @@
     And the operator drains zone "a"
     And the instance follows on
     Then it knows that zone "a" is drained
+
+  Scenario: An older configuration in the copy does not come back
+    Guards against a confirmed configuration being reverted by the copy.
+    Given a store, and an instance that has read it
+    When the store loses 5 changes of others and configuration 2 with ports 443 and 8443
+    And the instance follows on
+    Then it has routes to ports 443 and 8443
+    When the operator writes configuration 3 with ports 80
+    And the instance follows on
+    Then it has routes to ports 80
+
+  Scenario: An instance that starts after the return hears of a lost configuration
+    Guards against a new instance serving the copy's configuration.
+    Given a store, and an instance that has read it
+    When the store loses 5 changes of others and configuration 2 with ports 443 and 8443
+    And another instance starts
+    And the other one hears the instance
+    Then the other one has routes to ports 443 and 8443
+
+  Scenario: Numbers that are given out again hide no change
+    Guards against a watch from a lost revision that the store has again.
+    Given a store, and an instance that has read it
+    When the store loses the last 5 changes of others
+    And target 1 says that it drains
+    And the store makes 9 changes of others
+    And the instance follows on
+    Then new flows go to target 2 only
+
+  Scenario: An instance hears of the return from another one
+    Guards against news of the new era being refused for a lower revision.
+    Given a store, and an instance that has read it
+    And another instance that has read it
+    When the store loses the last 5 changes of others
+    And target 1 says that it drains
+    And the other instance follows on
+    And the instance hears the other one
+    Then new flows go to target 2 only
+
+  Scenario: An instance that missed the return misleads nobody
+    Guards against old facts with a higher revision that undo later ones.
+    Given a store, and an instance that has read it
+    And another instance that has read it
+    When the store loses the last 5 changes of others
+    And target 1 says that it drains
+    And the other instance follows on
+    And the other one hears the instance
+    Then the other one's new flows go to target 2 only
+
+  Scenario: Equal revisions of two eras confirm nothing
+    Guards against facts of a lost history that look fresh.
+    Given a store, and an instance that has read it
+    And another instance that has read it
+    When the store loses the last 5 changes of others
+    And target 1 says that it drains
+    And the store makes 4 changes of others
+    And the other instance follows on
+    And the instance hears the other one
+    Then new flows go to target 2 only
