Keep a zone drained whose order the store has lost

Cause: as for targets, the first answer of a new era replaced what was known, though the copy is older.

Fix: zones drained before a return stay drained for 5 s, or until the order is there again; its end counts from then on. Metric and log name the zones that are drained in effect.

Tests: two scenarios; the first failed on the code before, the second (an order that is repeated and taken back ends at once) passed there and guards the new rule.

--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -263,17 +263,19 @@
         """
         if not is_newer(stamp, self.drained_stamp):
             return False
+        before = self.list_drained(now)
+        is_restored = UNKNOWN.era < self.drained_stamp.era < stamp.era
         self.drained_stamp = stamp
-        drained = frozenset(zones)
-        if drained == self.drained_zones:
-            return False
-        longest = max(
-            (warmup.seconds for warmup in self.warmups.values()), default=0
-        )
-        for zone in self.drained_zones - drained:
-            self._returned[zone] = now + longest
-        self.drained_zones = drained
-        return True
+        self.drained_zones = frozenset(zones)
+        if is_restored:
+            self._lost_writes.note_zones(before, now)
+        self._lost_writes.release_zones(self.drained_zones)
+        self._note_returned(before - self.drained_zones, now)
+        return is_restored or before != self.list_drained(now)
+
+    def list_drained(self, now):
+        """Return the zones that get no new flow by order of an operator."""
+        return self.drained_zones | self._lost_writes.list_zones(now)
 
     def confirm_routes(self, as_of):
         """Note that the known configuration was the newest at that time."""
@@ -352,6 +354,7 @@
         by_service = {}
         fallback = {}
         drained_services = set()
+        drained_zones = self.list_drained(now)
         taken = {target.address for target in self._targets.values()}
         gone = {}
         for item in self._vanished.values():
@@ -363,16 +366,15 @@
             if item.gone_at <= now:
                 gone[target.cookie] = target
                 continue
-            if takes_flows(target) and is_zone_open(
-                target.zone, self.drained_zones
-            ):
+            is_open = is_zone_open(target.zone, drained_zones)
+            if is_open and takes_flows(target):
                 fallback.setdefault(target.service, []).append(target)
             add_cookie(by_cookie, target)
         for target in self._targets.values():
             if self._lost_writes.is_closed(target, now):
                 target = replace(target, draining=True)
             add_cookie(by_cookie, target)
-            if not is_zone_open(target.zone, self.drained_zones):
+            if not is_zone_open(target.zone, drained_zones):
                 drained_services.add(target.service)
             elif takes_flows(target):
                 by_service.setdefault(target.service, []).append(target)
@@ -384,7 +386,7 @@
             gone=gone,
             by_service=by_service,
             fallback=fallback,
-            drained_zones=self.drained_zones,
+            drained_zones=drained_zones,
             drained_services=frozenset(drained_services),
             warmups=self.warmups,
             returned={
@@ -425,6 +427,16 @@
             for name, target in self._targets.items()
         }
 
+    def _note_returned(self, zones, now):
+        """Note from when on the targets of zones may get new flows, cold."""
+        longest = max(
+            (warmup.seconds for warmup in self.warmups.values()), default=0
+        )
+        kept = self._lost_writes.list_zones(now)
+        for zone in zones:
+            opens_at = self._lost_writes.zones_until if zone in kept else now
+            self._returned[zone] = opens_at + longest
+
     def _begin_era(self, now):
         """Go over to an era of the store whose first list has come.
 
--- a/cornelgap/forwarding/directory_log.py
+++ b/cornelgap/forwarding/directory_log.py
@@ -25,7 +25,7 @@
     )
 
 
-def log_drained(directory, origin):
+def log_drained(directory, origin, now):
     """Log that other zones than before are drained."""
     _LOG.info(
         'directory: drained zones changed',
@@ -33,7 +33,7 @@
             'from': origin,
             'era': directory.drained_stamp.era,
             'revision': directory.drained_stamp.revision,
-            'zones': sorted(directory.drained_zones),
+            'zones': sorted(directory.list_drained(now)),
         },
     )
 
--- a/cornelgap/forwarding/lost_writes.py
+++ b/cornelgap/forwarding/lost_writes.py
@@ -16,13 +16,15 @@
     """Closed targets and zones as known before the last return.
 
     Time is an argument, in seconds of the process clock.
+
+    :ivar zones_until: time until which remembered zones stay drained.
     """
 
     def __init__(self):
         """Remember nothing."""
         self._targets_until = float('-inf')
         self._targets = {}
-        self._zones_until = float('-inf')
+        self.zones_until = float('-inf')
         self._zones = frozenset()
 
     def note_targets(self, targets, now):
@@ -33,7 +35,7 @@
     def note_zones(self, zones, now):
         """Remember which zones were drained before a return."""
         self._zones = frozenset(zones)
-        self._zones_until = now + REWRITE_S
+        self.zones_until = now + REWRITE_S
 
     def release_target(self, name):
         """Forget a target that has written since."""
@@ -51,7 +53,7 @@
 
     def list_zones(self, now):
         """Return the zones that stay drained."""
-        return self._zones if now < self._zones_until else frozenset()
+        return self._zones if now < self.zones_until else frozenset()
 
     def list_ends(self):
         """Return the times at which something ceases to hold."""
@@ -59,5 +61,5 @@
         if self._targets:
             ends.append(self._targets_until)
         if self._zones:
-            ends.append(self._zones_until)
+            ends.append(self.zones_until)
         return ends
--- a/features/store_restores.feature
+++ b/features/store_restores.feature
@@ -143,3 +143,23 @@
     And the store comes back from a copy
     And the instance follows on
     Then new flows go to target 2 only
+
+  Scenario: A drained zone that the copy does not know stays drained
+    Guards against an operator's order being taken back by the copy.
+    Given a store, and an instance that has read it
+    When the store loses that zone "a" is drained
+    And the instance follows on
+    Then it knows that zone "a" is drained
+    When nobody drains zone "a" again for 6 s
+    Then it knows that no zone is drained
+
+  Scenario: A zone that is drained again and taken back is open at once
+    Guards against an order that outlives its end.
+    Given a store, and an instance that has read it
+    When the store loses that zone "a" is drained
+    And the instance follows on
+    And the operator drains zone "a"
+    And the instance follows on
+    And the operator takes zone "a" back
+    And the instance follows on
+    Then it knows that no zone is drained
