Write the key of the instances again where the store has lost it

What callers would see: the key under which instances talk is written once, at the first start. If the store comes back from a copy of before that, the next instance that starts makes another key. From then on the instances of a zone are two halves that refuse each other's beats: news, loads and verdicts stay within a half, and every instance that started later follows the store by itself.

Found by looking at everything that we write there: it is this key alone.

Fix: an instance that follows the store and sees a new era reads the key afresh and writes it again if there is none; where another one was made meanwhile, that one holds. Instances that hear their follower no more follow the store themselves, see the era and do the same. The key is learnt by an actor of its own, so that it can be asked to look again.

--- a/cornelgap/platform/keys.py
+++ b/cornelgap/platform/keys.py
@@ -3,8 +3,13 @@
 import logging
 import os
 
+from msgspec import Struct
+
+from cornelgap.kernel.names import tell_service
+from cornelgap.kernel.service import Service
 from cornelgap.platform.store import Conflict, StoreError
 
+KEYS = 'keys'
 KIND = 'cornelgap-keys'
 NAME = 'peers'
 KEY_BYTES = 32
@@ -13,19 +18,57 @@
 _LOG = logging.getLogger('cornelgap.node')
 
 
-def learn_key(client, pause):
-    """Read the key, or make it if this is the first instance ever.
+class CheckKey(Struct, frozen=True):
+    """Message: read the key, again if it is known."""
+
+
+class KeyKeeper(Service):
+    """Learns the key and keeps it in the store.
+
+    :param client: :class:`~cornelgap.platform.store.StoreClient` of its own.
+    :param pause: function that sleeps for some seconds.
+    :param on_key: function that is told the key each time it was read.
+    """
+
+    use_daemon_thread = True
+
+    def __init__(self, scope, client, pause, on_key):
+        """Know no key yet."""
+        super().__init__(scope, KEYS)
+        self._client = client
+        self._pause = pause
+        self._on_key = on_key
+        self._key = None
+        self.handlers = {CheckKey: self._check}
+
+    def begin(self):
+        """Learn the key."""
+        tell_service(self.scope, KEYS, CheckKey())
+
+    def end(self):
+        """Close the connection."""
+        self._client.close()
+
+    def _check(self, _message):
+        self._key = learn_key(self._client, self._pause, self._key)
+        self._on_key(self._key)
+
+
+def learn_key(client, pause, known=None):
+    """Read the key, or write it if there is none.
 
     Tries until the store answers; until then the instance works alone.
 
     :param client: :class:`~cornelgap.platform.store.StoreClient`.
     :param pause: function that sleeps for some seconds.
+    :param known: the key so far; written if the store has lost it.  Where it
+        was made anew meanwhile, that one holds for all.
     :returns: bytes.
     """
     failing = False
     while True:
         try:
-            return _read_or_make(client)
+            return _read_or_make(client, known)
         except _FAILED as exc:
             if not failing:
                 _LOG.warning('node: no key yet', extra={'error': repr(exc)})
@@ -34,14 +77,16 @@
             pause(RETRY_S)
 
 
-def _read_or_make(client):
-    # The key never changes, so a copy of it is as good however old it is;
-    # that there is none yet is certain from a fresh answer only.
-    found = client.read_object(KIND, NAME, stale=True)
+def _read_or_make(client, known):
+    # A key changes only if the store has lost it, so an old copy is as good
+    # for a start; that there is none is certain from a fresh answer only.
+    found = None
+    if known is None:
+        found = client.read_object(KIND, NAME, stale=True)
     if found is None:
         found = client.read_object(KIND, NAME)
     if found is None:
-        made = {'key': os.urandom(KEY_BYTES).hex()}
+        made = {'key': (known or os.urandom(KEY_BYTES)).hex()}
         try:
             found = client.create_object(KIND, NAME, made)
         except Conflict:
--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -25,10 +25,11 @@
 from cornelgap.forwarding.neighbours import Self
 from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
 from cornelgap.kernel.logs import LineHandler, RateFilter, configure_logs
+from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.pages import make_server
 from cornelgap.kernel.supervision import Supervisor
 from cornelgap.platform import layout
-from cornelgap.platform.keys import learn_key
+from cornelgap.platform.keys import KEYS, CheckKey, KeyKeeper
 from cornelgap.platform.sources import StoreSource
 from cornelgap.platform.store import StoreClient
 
@@ -104,7 +105,9 @@
         )
         fetcher.Fetcher.start(name, port, DIRECTORY)
         self._client = StoreClient.from_settings(settings)
-        source = StoreSource(self._client)
+        source = StoreSource(
+            self._client, lambda: tell_service(name, KEYS, CheckKey())
+        )
         Follower.start(name, source, DIRECTORY, wait_s, rng, time.sleep)
         self._directory = DirectoryActor.start(
             Self(name, settings.zone, settings.host, settings.capacity),
@@ -119,7 +122,8 @@
         _serve(make_server(settings.ready, {READY_PATH: self._make_ready}))
         metrics = (settings.host, METRICS_PORT)
         _serve(make_server(metrics, {METRICS_PATH: self._make_metrics}))
-        threading.Thread(target=self._learn_key, daemon=True).start()
+        key_client = StoreClient.from_settings(settings)
+        KeyKeeper.start(name, key_client, time.sleep, self._tell_key)
 
     def _read_snapshot(self):
         return self._directory.ask(ReadSnapshot(), timeout=fetcher.FETCH_S)
@@ -140,8 +144,7 @@
         samples = metric_page.make_samples(counts, gauges)
         return 200, metric_page.make_page(samples)
 
-    def _learn_key(self):
-        key = learn_key(StoreClient.from_settings(self.settings), time.sleep)
+    def _tell_key(self, key):
         self._directory.tell(KeyKnown(key))
 
     def leave(self):
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -35,11 +35,14 @@
     """Follows targets and configuration over one connection.
 
     :param client: :class:`~cornelgap.platform.store.StoreClient` of its own.
+    :param on_return: function that is called when the store has come back
+        from a copy; None to call none.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, on_return=None):
         """Know no revision yet."""
         self._client = client
+        self._on_return = on_return
         self._revision = 0
         self._policy_revision = 0
         self._era = 0
@@ -59,7 +62,7 @@
         is_first = not self._revision
         listing = self._client.list_objects(objects.TARGETS_KIND)
         self._revision = listing.revision
-        self._note_era(listing.era)
+        self._note_era(listing.era, is_first)
         targets = {}
         for item in listing.objects:
             found = self.read(item)
@@ -177,9 +180,11 @@
         if era != self._era:
             raise HistoryGone('the store came back from a copy', answered=True)
 
-    def _note_era(self, era):
+    def _note_era(self, era, is_first):
         if era == self._era:
             return
+        if self._on_return is not None and not is_first:
+            self._on_return()
         _LOG.info(
             'follower: store era',
             extra={
--- a/features/proofs/restore_world.py
+++ b/features/proofs/restore_world.py
@@ -120,6 +120,7 @@
     """One instance's knowledge.
 
     :ivar later: seconds by which its clock is ahead of the real one.
+    :ivar checks: how often it wanted the key to be checked.
     """
 
     def __init__(self, world, stale=None):
@@ -130,7 +131,9 @@
         """
         self.later = 0
         self.directory = Directory()
-        self.source = StoreSource(make_client(world.address, stale))
+        self.checks = 0
+        client = make_client(world.address, stale)
+        self.source = StoreSource(client, self._count_check)
         self.read_all()
 
     @property
@@ -189,6 +192,9 @@
         sender.send(['10.0.9.2'], 'a', following=True, now=self.now)
         return wire.raw
 
+    def _count_check(self):
+        self.checks += 1
+
     def _take(self, facts):
         for fact in facts:
             _TAKE[type(fact)](self.directory, fact, self.now)
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -12,6 +12,7 @@
 from behave import given, then, when
 
 from bench.procs import Proc, pick_ports, wait_for
+from cornelgap.platform import keys
 from cornelgap.platform.layout import parse_ip
 from cornelgap.platform.node import METRICS_PORT
 from standins.object_store import ObjectStore, start_store
@@ -125,6 +126,7 @@
     put_config(context, 'search', 'archive')
     for target in context.targets.values():
         put_target(context, target)
+    context.copy = context.store.copy()
 
 
 @given('three forwarding instances behind routers')
@@ -253,6 +255,41 @@
     strike(context, context.procs['n1'].popen.kill)
 
 
+@when("the store comes back from a copy of before the instances' start")
+def restore_store(context):
+    context.key = read_key(context)
+    # What is lost has higher revisions than all that comes after it.
+    for number in range(20):
+        context.store.put('others', f'o-{number}', {})
+    put_config(context, 'search', 'archive')
+    wait_for(
+        lambda: is_known_to_all(context.store.revision),
+        WAIT_S,
+        'all instances know what will be lost',
+    )
+    context.store.restore(context.copy)
+    assert read_key(context) is None
+
+
+def is_known_to_all(revision):
+    """Say whether all instances know a revision of the configuration."""
+    wanted = f'directory_revision{{kind="routes"}} {revision}'
+    return all(wanted in ask_page(host, 'GET', '/metrics')[1] for host in HOSTS)
+
+
+def read_key(context):
+    item = context.store.get(keys.KIND, keys.NAME)
+    return item and item['spec']
+
+
+@then('the store has the key that it had')
+def check_key_kept(context):
+    wait_for(
+        lambda: read_key(context) is not None, WAIT_S, 'the key is written'
+    )
+    assert read_key(context) == context.key
+
+
 @when('a target begins to drain and a route is dropped')
 def drain_target(context):
     put_target(context, context.targets[1], 'draining')
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -1,12 +1,14 @@
 """Steps on a store that comes back from a copy some seconds old."""
 
 import logging
+import time
 
 from behave import given, then, when
 
 from cornelgap.forwarding import intake
 from cornelgap.forwarding.facts import TargetsChanged
 from cornelgap.forwarding.stamps import Stamp
+from cornelgap.platform import keys
 from cornelgap.platform.store import Listing, StoreClient
 from features.proofs.restore_world import Reader, World, make_name
 
@@ -285,3 +287,52 @@
 def check_other_drained(context, zone):
     found = context.other.list_drained()
     assert found == [zone], found
+
+
+def learn(context, known=None):
+    client = StoreClient(context.world.address)
+    return keys.learn_key(client, time.sleep, known)
+
+
+@given('{count:d} instances that have learnt the key')
+def learn_keys(context, count):
+    context.copy = context.world.store.copy()
+    context.keys = [learn(context) for _ in range(count)]
+
+
+@when('the store loses the key')
+def lose_key(context):
+    context.world.store.restore(context.copy)
+
+
+@when('an instance that starts learns the key')
+def learn_late(context):
+    context.late = learn(context)
+    assert context.late not in context.keys
+
+
+@when('the {count:d} instances check the key')
+def check_keys_again(context, count):
+    assert len(context.keys) == count
+    context.checked = [learn(context, known) for known in context.keys]
+
+
+@then('all of them and the store have the key of before')
+def check_same_key(context):
+    assert context.checked == context.keys
+    assert learn(context) == context.keys[0]
+
+
+@then('all of them have the key of the one that started')
+def check_late_key(context):
+    assert set(context.checked) == {context.late}
+
+
+@then('it has not asked for a check of the key')
+def check_no_check(context):
+    assert not context.reader.checks
+
+
+@then('it has asked for {count:d} check of the key')
+def check_checks(context, count):
+    assert context.reader.checks == count, context.reader.checks
--- a/features/store_restores.feature
+++ b/features/store_restores.feature
@@ -173,3 +173,28 @@
     And the other instance follows on once
     Then the other one knows that zone "a" is drained
     And the other one has routes to ports 8443
+
+  Scenario: The key of the instances is lost and written again
+    Guards against instances that start later and make a key of their own.
+    Given a store, and an instance that has read it
+    And 3 instances that have learnt the key
+    When the store loses the key
+    And the 3 instances check the key
+    Then all of them and the store have the key of before
+
+  Scenario: Another key was made before the lost one was written again
+    Guards against a zone in two halves that do not believe each other.
+    Given a store, and an instance that has read it
+    And 3 instances that have learnt the key
+    When the store loses the key
+    And an instance that starts learns the key
+    And the 3 instances check the key
+    Then all of them have the key of the one that started
+
+  Scenario: Followers check the key when the store has come back
+    Guards against a lost key that nobody misses.
+    Given a store, and an instance that has read it
+    Then it has not asked for a check of the key
+    When the store comes back from a copy
+    And the instance follows on
+    Then it has asked for 1 check of the key
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -40,6 +40,12 @@
         self._events = []
         self._oldest = 0
 
+    @property
+    def revision(self):
+        """The number of the last change."""
+        with self._changed:
+            return self._revision
+
     def put(self, kind, name, spec, expected=None):
         """Write an object.
 
