Remember a draining target that goes between two returns of the store

What callers would see: the store comes back twice from one copy. A target that drained before the first return ends between the two; the copy lists it as ready again, and flows are opened on it (DRAIN).

Cause: at the second return only listed targets were remembered as closed, and one whose removal had been heard was released as if it had written.

Fix: a target that is waited for counts like a listed one, and only what a target writes itself releases it.

--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -332,10 +332,10 @@
         ended = self.confirm_targets(as_of, now)
         changed = False
         for name, target, entry_revision in changes:
-            self._lost_writes.release_target(name)
             if target is None:
                 changed |= self._remove(name, entry_revision, now)
             else:
+                self._lost_writes.release_target(name)
                 changed |= self._put(name, target, entry_revision)
         self.targets_stamp = max(stamp, self.targets_stamp)
         if changed:
@@ -464,6 +464,7 @@
             return False
         self._outage_until = now + REGISTRATION_RETURN_S
         known = list(self._targets.values())
+        known += [item.target for item in self._vanished.values()]
         closed = [
             target
             for target in known
--- a/features/store_restores.feature
+++ b/features/store_restores.feature
@@ -146,6 +146,17 @@
     And the instance follows on
     Then new flows go to target 2 only
 
+  Scenario: A draining target goes between two returns from one copy
+    Guards against a target that counts as ready since it was not listed.
+    Given a store, and an instance that has read it
+    When the store loses that target 1 drains
+    And the instance follows on
+    And target 1 goes
+    And the instance follows on
+    And the store comes back from the same copy again
+    And the instance follows on
+    Then new flows go to target 2 only
+
   Scenario: A drained zone that the copy does not know stays drained
     Guards against an operator's order being taken back by the copy.
     Given a store, and an instance that has read it
