--- a/cornelgap/forwarding/directory_log.py
+++ b/cornelgap/forwarding/directory_log.py
@@ -2,7 +2,9 @@
 
 import logging
 
-from cornelgap.forwarding.directory import UNREADABLE
+from cornelgap.forwarding.directory_view import (
+    UNREADABLE,
+)
 
 _LOG = logging.getLogger('cornelgap.directory')
 
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -13,7 +13,10 @@
 from cornelgap.decisions.flow_health import select_pool
 from cornelgap.decisions.target_choice import Candidate, choose_target
 from cornelgap.forwarding import packets as pkt
-from cornelgap.forwarding.directory import View, Warmup
+from cornelgap.forwarding.directory_view import (
+    View,
+    Warmup,
+)
 from cornelgap.forwarding.flow_evidence import FlowEvidence
 from cornelgap.forwarding.flows import FlowTable
 from cornelgap.forwarding.lifetimes import is_gone, list_reborn
@@ -61,7 +64,7 @@
 
 
 class Engine:
-    """Routes packets by a :class:`~cornelgap.forwarding.directory.View`.
+    """Routes packets by a :class:`~cornelgap.forwarding.directory_view.View`.
 
     :param zone: this instance's availability zone.
     :param rng: generator for choices among equals.
--- a/cornelgap/forwarding/facts.py
+++ b/cornelgap/forwarding/facts.py
@@ -18,7 +18,7 @@
     :param routes: list of routes; None if it is the one already known.
     :param stamp: place in the store's history; None without routes.
     :param as_of: time at which this was the newest, process clock seconds.
-    :param warmups: :class:`~cornelgap.forwarding.directory.Warmup` by
+    :param warmups: :class:`~cornelgap.forwarding.directory_view.Warmup` by
         service.
     """
 
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -73,7 +73,7 @@
 class Forward(Struct, frozen=True):
     """Effect: send the packet to a target.
 
-    :param target: :class:`cornelgap.forwarding.directory.Target`.
+    :param target: :class:`cornelgap.forwarding.directory_view.Target`.
     """
 
     target: object
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -16,7 +16,7 @@
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.decisions.target_outliers import Outcomes
-from cornelgap.forwarding.directory import (
+from cornelgap.forwarding.directory_view import (
     UNREADABLE,
     Route,
     Target,
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -9,7 +9,12 @@
 from msgspec import Struct
 
 from cornelgap.core.errors import Code, CodedError
-from cornelgap.forwarding.directory import Route, Target, Warmup, make_cookie
+from cornelgap.forwarding.directory_view import (
+    Route,
+    Target,
+    Warmup,
+    make_cookie,
+)
 from cornelgap.platform.layout import parse_ip
 
 CONFIG_KIND = 'config'
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -9,7 +9,9 @@
 
 import logging
 
-from cornelgap.forwarding.directory import UNREADABLE
+from cornelgap.forwarding.directory_view import (
+    UNREADABLE,
+)
 from cornelgap.forwarding.facts import (
     RoutesKnown,
     TargetsChanged,
@@ -160,7 +162,7 @@
     def read(self, item):
         """Read one registration, by whomever it was written.
 
-        :returns: tuple (name, :class:`~cornelgap.forwarding.directory.Target`
+        :returns: tuple (name, :class:`~cornelgap.forwarding.directory_view.Target`
             or ``UNREADABLE``, revision); None if it has not even a name.
         """
         found, errors = objects.load_registration(item, read_clock())
--- a/features/proofs/forwarding_desk.py
+++ b/features/proofs/forwarding_desk.py
@@ -8,8 +8,8 @@
 
 from cornelgap.decisions.cold_starts import ColdStarts
 from cornelgap.forwarding import packets as pkt
-from cornelgap.forwarding.directory import (
-    Directory,
+from cornelgap.forwarding.directory import Directory
+from cornelgap.forwarding.directory_view import (
     Route,
     Target,
     make_cookie,
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -18,7 +18,11 @@
     find_median_without,
 )
 from cornelgap.forwarding import peer_messages as peers
-from cornelgap.forwarding.directory import UNREADABLE, Directory, Route
+from cornelgap.forwarding.directory import Directory
+from cornelgap.forwarding.directory_view import (
+    UNREADABLE,
+    Route,
+)
 from cornelgap.forwarding.packets import Drop, Forward, Reset
 from cornelgap.forwarding.stamps import ConfigStamp, Stamp
 from cornelgap.platform import layout, objects
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -9,7 +9,9 @@
 from behave import given, then, when
 
 from cornelgap.core.errors import CodedError
-from cornelgap.forwarding.directory import UNREADABLE
+from cornelgap.forwarding.directory_view import (
+    UNREADABLE,
+)
 from cornelgap.forwarding.facts import (
     RoutesKnown,
     TargetsChanged,
