Let an instance start after the return and hear the others

The scenario of the lost key through real processes ended when the store had its key again; now an instance restarts and must hear the two others, which it does only under the same key.

--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -64,6 +64,7 @@
     Then within 3 s no new flow reaches the target or the route
     And the flows that the target holds go on
     And the store has the key that it had
+    And an instance that starts again hears the two others
 
   Scenario: A crashed target's callers are told at once
     It sends nothing any more, and its registration stays for seconds.
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -274,7 +274,7 @@
 def is_known_to_all(revision):
     """Say whether all instances know a revision of the configuration."""
     wanted = f'directory_revision{{kind="routes"}} {revision}'
-    return all(wanted in ask_page(host, 'GET', '/metrics')[1] for host in HOSTS)
+    return all(wanted in ask_page(host)[1] for host in HOSTS)
 
 
 def read_key(context):
@@ -290,6 +290,22 @@
     assert read_key(context) == context.key
 
 
+@then('an instance that starts again hears the two others')
+def check_heard(context):
+    kill(context.procs['n1'])
+    start_instance(context, 'n1')
+    wait_for(
+        lambda: ask_ready((HOSTS[0], context.ports['ready'])),
+        WAIT_S,
+        'the instance is ready',
+    )
+    wait_for(
+        lambda: 'forwarding_instances 3' in ask_page(HOSTS[0])[1],
+        WAIT_S,
+        'the others are heard',
+    )
+
+
 @when('a target begins to drain and a route is dropped')
 def drain_target(context):
     put_target(context, context.targets[1], 'draining')
@@ -453,7 +469,7 @@
     assert ask_page(HOSTS[0], 'POST', '/metrics')[0] == 405
 
 
-def ask_page(host, method, path):
+def ask_page(host, method='GET', path='/metrics'):
     conn = HTTPConnection(host, METRICS_PORT, timeout=WAIT_S)
     conn.request(method, path)
     answer = conn.getresponse()
