--- a/cornelgap/forwarding/stamps.py
+++ b/cornelgap/forwarding/stamps.py
@@ -1,7 +1,8 @@
 """Where in the store's history a fact stands.
 
-The store numbers its changes.  When it is restored from a backup, it reissues
-the revisions that were lost, and counts the restore as a new era.  A revision alone then says nothing: a fact of the new era with a lower
+The store numbers its changes.  When it is restored from a backup, it
+reissues the revisions that were lost, and counts the restore as a new era.
+A revision alone then says nothing: a fact of the new era with a lower
 revision is the later one.
 """
 
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -162,8 +162,9 @@
     def read(self, item):
         """Read one registration, by whomever it was written.
 
-        :returns: tuple (name, :class:`~cornelgap.forwarding.directory_view.Target`
-            or ``UNREADABLE``, revision); None if it has not even a name.
+        :returns: tuple (name,
+            :class:`~cornelgap.forwarding.directory_view.Target` or
+            ``UNREADABLE``, revision); None if it has not even a name.
         """
         found, errors = objects.load_registration(item, read_clock())
         self._log_errors(errors)
--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -230,8 +230,9 @@
 
 
 def parse_era(fields, known):
-    """Read from the header fields how often the store was restored from a backup.
+    """Read how often the store was restored from a backup.
 
+    :param fields: header fields of an answer.
     :param known: what the last answer said; holds where this one is silent,
         as an answer of a proxy in between is.
     """
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -23,7 +23,7 @@
     :ivar silent: whether calls get no answer at all.
     :ivar deaf: whether watches hear nothing.
     :ivar page: objects a page.
-    :ivar era: how often the store was restored from a backup; None to say nothing.
+    :ivar era: how often it was restored from a backup; None to say nothing.
     """
 
     def __init__(self):
