--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -13,9 +13,7 @@
 import tracemalloc
 
 from cornelgap.forwarding.directory import Directory
-from cornelgap.forwarding.directory_view import (
-    Route,
-)
+from cornelgap.forwarding.directory_view import Route
 from cornelgap.forwarding.engine import Engine
 from cornelgap.forwarding.packets import Forward
 from cornelgap.forwarding.stamps import ConfigStamp, Stamp
--- a/cornelgap/forwarding/directory_log.py
+++ b/cornelgap/forwarding/directory_log.py
@@ -2,9 +2,7 @@
 
 import logging
 
-from cornelgap.forwarding.directory_view import (
-    UNREADABLE,
-)
+from cornelgap.forwarding.directory_view import UNREADABLE
 
 _LOG = logging.getLogger('cornelgap.directory')
 
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -9,9 +9,7 @@
 
 import logging
 
-from cornelgap.forwarding.directory_view import (
-    UNREADABLE,
-)
+from cornelgap.forwarding.directory_view import UNREADABLE
 from cornelgap.forwarding.facts import (
     RoutesKnown,
     TargetsChanged,
--- a/features/proofs/cold_stories.py
+++ b/features/proofs/cold_stories.py
@@ -8,9 +8,7 @@
 
 from cornelgap.decisions import cold_starts
 from cornelgap.decisions.cold_starts import ColdLimit
-from cornelgap.forwarding.directory_view import (
-    Warmup,
-)
+from cornelgap.forwarding.directory_view import Warmup
 from cornelgap.forwarding.packets import Drop, Reset
 from features.proofs.cold_world import ColdWorld
 from features.proofs.forwarding_desk import Desk, make_route, make_target
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -10,9 +10,7 @@
 
 from bench.procs import wait_for
 from cornelgap.core.errors import CodedError
-from cornelgap.forwarding.directory_view import (
-    UNREADABLE,
-)
+from cornelgap.forwarding.directory_view import UNREADABLE
 from cornelgap.forwarding.facts import (
     RoutesKnown,
     TargetsChanged,
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -80,13 +80,17 @@
     assert (line.before, line.era) == (1, 2), (line.before, line.era)
 
 
+def lose(context, change):
+    """Let the instance read a change that the store then loses."""
+    context.backup = context.world.store.back_up()
+    change(context.world)
+    context.reader.read_all()
+    context.world.store.restore(context.backup)
+
+
 @when('the store loses the last {count:d} changes of others')
 def lose_others(context, count):
-    world = context.world
-    backup = world.store.back_up()
-    world.write_other(count)
-    context.reader.read_all()
-    world.store.restore(backup)
+    lose(context, lambda world: world.write_other(count))
 
 
 @when(
@@ -94,12 +98,11 @@
     'and configuration {version:d} with ports {ports}'
 )
 def lose_routes(context, count, version, ports):
-    world = context.world
-    backup = world.store.back_up()
-    world.write_other(count)
-    world.write_routes(version, *read_numbers(ports))
-    context.reader.read_all()
-    world.store.restore(backup)
+    def change(world):
+        world.write_other(count)
+        world.write_routes(version, *read_numbers(ports))
+
+    lose(context, change)
 
 
 @when('the operator writes configuration {version:d} with ports {ports}')
@@ -148,12 +151,8 @@
 
 
 @given('another instance that has read it')
-def start_other(context):
-    context.other = Reader(context.world.make_client())
-
-
 @when('another instance starts')
-def start_late(context):
+def start_other(context):
     context.other = Reader(context.world.make_client())
 
 
@@ -164,12 +163,12 @@
 
 @when('the instance hears the other one')
 def hear_other(context):
-    context.news = context.reader.hear(context.other)
+    context.reader.hear(context.other)
 
 
 @when('the other one hears the instance')
 def hear_back(context):
-    context.news = context.other.hear(context.reader)
+    context.other.hear(context.reader)
 
 
 @when('the other instance follows on')
@@ -190,24 +189,12 @@
     assert found == [make_name(number)], found
 
 
-def lose(context, change):
-    """Let the instance read a change that the store then loses."""
-    context.backup = context.world.store.back_up()
-    change(context.world)
-    context.reader.read_all()
-    context.world.store.restore(context.backup)
-
-
-@when('the store loses that target {number:d} drains')
-def lose_drain(context, number):
-    lose(context, lambda world: world.write_target(number, 'draining'))
-
-
 @when('the store loses that target {number:d} has registered')
 def lose_target(context, number):
     lose(context, lambda world: world.write_target(number))
 
 
+@when('the store loses that target {number:d} drains')
 @when('the store loses that target {number:d} has registered and drains')
 def lose_draining(context, number):
     lose(context, lambda world: world.write_target(number, 'draining'))
