Withdraw a zone that can open flows nowhere

Cause: the instances of a drained zone that is cut off from the others reset each opening at once. Callers repeat a reset opening at once, so that their three tries are gone within milliseconds, for as long as the cut lasts. Routers send a zone's callers elsewhere only if none of its instances is in rotation.

Change: each instance counts the openings for which all targets lie in zones that are away, and tells the hubs. Openings that cannot be served are dropped for a moment and not reset, so that their copies reach another zone. Each return makes the next withdrawal need longer evidence.

--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -42,6 +42,7 @@
 from cornelgap.forwarding.reports import Reports
 from cornelgap.forwarding.sockets import drop_waiting, open_socket
 from cornelgap.forwarding.target_judge import Evidence
+from cornelgap.forwarding.zone_standing import ZoneStanding
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
@@ -93,11 +94,15 @@
     :param port: port of all instances for each other.
     :param wait_s: longest wait of a watch, seconds.
     :param on_complete: called once when routes and targets are known.
+    :param on_withdrawn: function of whether this instance must not be ready,
+        since its zone cannot serve.
     """
 
     use_daemon_thread = True
 
-    def __init__(self, own, port, seeds, wait_s, rng, on_complete):
+    def __init__(
+        self, own, port, seeds, wait_s, rng, on_complete, on_withdrawn
+    ):
         """Open the socket; know nothing yet."""
         super().__init__(own.name, DIRECTORY)
         self._own = own
@@ -116,6 +121,9 @@
         self._reports = Reports(
             self._neighbours, self._tell_packets, self._send_loads
         )
+        self._standing = ZoneStanding(
+            self._neighbours, self._tell_packets, on_withdrawn
+        )
         self._on_complete = on_complete
         self._complete = False
         self._changes_at = None
@@ -131,7 +139,7 @@
             AnnounceLeaving: self._announce_leaving,
             EvidenceSeen: self._take_evidence,
             KeyKnown: self._take_key,
-            LoadSeen: self._reports.take_own,
+            LoadSeen: self._take_load,
             ReadNews: self._give_news,
             ReadSnapshot: self._give_snapshot,
             Readable: self._read,
@@ -204,6 +212,7 @@
             self.counts[str(exc.code)] += 1
             return
         self._neighbours.note_beat(beat, self._turn_at)
+        self._standing.take_beat(beat, self._turn_at)
         if beat.hello:
             self._answer_hello(host, beat.zone)
         self._reports.take_told(beat)
@@ -229,15 +238,22 @@
             self._tell(News.CHANGED in news)
 
     def _take_snapshot(self, message):
-        self._spread(
-            intake.take_snapshot(self._directory, message, self._turn_at)
-        )
+        now = self._turn_at
+        self._standing.take_snapshot(message.snapshot, message.host, now)
+        self._spread(intake.take_snapshot(self._directory, message, now))
 
     def _give_snapshot(self, _message):
         if self._beats.key is None or not self._directory.complete:
             return b''
+        now = read_clock()
+        told = self._standing.report(now)
         return peers.pack_snapshot(
-            self._directory, read_clock(), self._beats.key
+            self._directory,
+            now,
+            self._beats.key,
+            zone=self._own.zone,
+            withdrawal=told.get('withdrawal', ()),
+            beyond=told.get('beyond', ()),
         )
 
     # What this instance tells.
@@ -267,6 +283,7 @@
         view = None
         if changed or not self._complete:
             view = directory.make_view(now)
+            self._standing.take_view(view, now)
             self._changes_at = directory.next_change(now)
         as_of = now - directory.compute_age(now)
         self._tell_packets(AdoptView(view, as_of))
@@ -281,6 +298,7 @@
         now = self._turn_at
         neighbours = self._neighbours
         neighbours.expire(now)
+        self._decide_standing(now)
         self._tell_members(now)
         if self._changes_at is not None and now >= self._changes_at:
             self._tell(changed=True)
@@ -331,6 +349,19 @@
             own_loads = self._reports.sum_zone_loads(now)
             self._send_beat(far_hosts, '', zone_loads=own_loads)
 
+    def _take_load(self, message):
+        self._reports.take_own(message)
+        if self._standing.take_sight(message.sight):
+            hosts = self._neighbours.list_near_hosts()
+            self._send_beat(hosts, self._own.zone)
+
+    def _decide_standing(self, now):
+        if self._standing.tick(now, is_heard=self._beats.key is not None):
+            self._send_beat(self._neighbours.list_all_near(), self._own.zone)
+        lost_hosts = self._standing.list_lost_hosts(now)
+        if lost_hosts:
+            self._send_beat(lost_hosts, '', hello=True)
+
     def _send_loads(self, hosts, loads):
         self._send_beat(hosts, self._own.zone, loads=loads)
 
@@ -356,6 +387,8 @@
             tell_service(self.scope, FOLLOWER, Follow(active))
 
     def _send_beat(self, hosts, zone, **parts):
+        if zone == self._own.zone:
+            parts.update(self._standing.report(self._turn_at))
         following = self._following.active
         self._beats.send(hosts, zone, following, self._turn_at, **parts)
 
@@ -389,6 +422,7 @@
             },
             'config_version': directory.routes_stamp.version,
             'targets': len(directory.list_targets()),
+            'zone_withdrawn': int(self._standing.withdrawn),
             'follows_store': int(self._following.active),
             'instances': self._neighbours.count_zone(),
             'zone_drained': dict.fromkeys(directory.list_drained(), 1),
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -20,6 +20,7 @@
 from cornelgap.forwarding.flow_evidence import FlowEvidence
 from cornelgap.forwarding.flows import FlowTable
 from cornelgap.forwarding.lifetimes import is_gone, list_reborn
+from cornelgap.forwarding.openings import Openings
 from cornelgap.forwarding.packet_checks import (
     choose_cookie,
     is_early_copy,
@@ -89,6 +90,7 @@
         self._opens_count = 0
         self._just_gone = set()
         self.judge = TargetJudge()
+        self.openings = Openings(zone, self.judge)
         self._evidence = FlowEvidence(self.flows, self.judge)
 
     def adopt_view(self, view):
@@ -217,6 +219,10 @@
         """Return counts of the times that answers took."""
         return self._evidence.answers
 
+    def make_sight(self, now):
+        """Return the :class:`~cornelgap.decisions.withdrawal.Sight` of now."""
+        return self.openings.make_sight(self.view, self.flows.loads, now)
+
     def expire(self, now):
         """Forget flows that were not seen lately."""
         self.flows.expire(now)
@@ -249,6 +255,8 @@
         target = self._place(route, packet, tried, now)
         if target is None:
             return self._refuse_opening(route, packet, now)
+        if not packet.ack:
+            self.openings.note_placed(self.view, route, target, now)
         self.flows.note_open(packet.flow, target.cookie, now)
         reason = Reason.MOVED_ON if tried else Reason.PLACED
         return self._open_on(target, reason, now)
@@ -272,6 +280,8 @@
         drained = self.view.drained_services.intersection(services)
         if now > self.fresh_until and not drained:
             return Drop(Reason.NOT_FRESH)
+        if self.openings.note_refused(self.view, route, now):
+            return Drop(Reason.WITHDRAWN)
         return Reset(packet.ack, Reason.NO_TARGET)
 
     def _may_open_on(self, target, early, now):
--- a/cornelgap/forwarding/metric_page.py
+++ b/cornelgap/forwarding/metric_page.py
@@ -78,6 +78,11 @@
         '1 for each zone whose targets get no new flow by an order.',
         ('zone',),
     ),
+    Metric(
+        f'{_PREFIX}zone_withdrawn',
+        GAUGE,
+        '1 while this zone is out of rotation because it cannot serve.',
+    ),
     Metric(
         f'{_PREFIX}follows_store',
         GAUGE,
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -227,6 +227,10 @@
         if not self.is_first_hub or now - self._far_at < FAR_S:
             return []
         self._far_at = now
+        return self.list_far_hubs()
+
+    def list_far_hubs(self):
+        """Return hosts of hubs of other zones."""
         hosts = []
         for zone in {item.zone for item in self._members.values()}:
             if zone != self.zone:
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -12,6 +12,7 @@
 from cornelgap.forwarding.facts import WAKE_S, read_clock
 from cornelgap.forwarding.packets import SYN, Drop, Forward, Reason, Reset
 from cornelgap.forwarding.sockets import drop_waiting
+from cornelgap.forwarding.zone_standing import DropOpenings
 from cornelgap.kernel.inbox import Readable, SocketInbox, Tick
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.service import Service
@@ -58,10 +59,14 @@
     :param loads: flows by cookie.
     :param outcomes: how requests have ended since the last message, by
         cookie, :class:`~cornelgap.decisions.target_outliers.Outcomes`.
+    :param sight: openings of the last second,
+        :class:`~cornelgap.decisions.withdrawal.Sight`; None while all zones
+        are in reach.
     """
 
     loads: dict
     outcomes: dict
+    sight: object = None
 
 
 class ZoneOutcomes(Struct, frozen=True):
@@ -161,6 +166,7 @@
         self.counts = Counter()
         self.handlers = {
             AdoptView: self._adopt_view,
+            DropOpenings: self._drop_openings,
             OthersEvidence: self._take_evidence,
             OthersLoad: self._take_others,
             Readable: self._read,
@@ -371,6 +377,9 @@
     def _take_members(self, message):
         self._engine.note_members(message.names)
 
+    def _drop_openings(self, message):
+        self._engine.openings.drop_until(self._turn_at + message.for_s)
+
     def _take_others(self, message):
         self._engine.note_others(
             message.loads, message.instances, message.pause_s, message.rank
@@ -381,8 +390,13 @@
         self._engine.expire(self._turn_at)
         self._tell_evidence()
         self._reset_lost()
-        loads = self._engine.flows.count_flows()
-        self._tell(LoadSeen(loads, self._engine.judge.take_outcomes()))
+        flows = self._engine.flows
+        news = LoadSeen(
+            flows.count_flows(),
+            self._engine.judge.take_outcomes(),
+            self._engine.make_sight(self._turn_at),
+        )
+        self._tell(news)
 
     def _give_counts(self, _message):
         loads = self._engine.flows.loads.values()
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -59,6 +59,7 @@
     ROUTES_UNKNOWN = 'routes_unknown'
     ROUTE_DROPPED = 'route_dropped'
     NO_TARGET = 'no_target'
+    WITHDRAWN = 'withdrawn'
     COLD_TARGETS = 'cold_targets'
     TARGET_SILENT = 'target_silent'
     TARGET_GONE = 'target_gone'
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -78,6 +78,12 @@
     :param outcomes: how requests through the sender have ended since its
         last beat, by cookie.
     :param zone_outcomes: the same through all instances of the zone.
+    :param openings: what the sender has seen in the last second while zones
+        are away: [placed, unserved, served], as in
+        :class:`~cornelgap.decisions.withdrawal.Sight`.
+    :param withdrawal: whether the zone is out of rotation: [0 or 1, ages of
+        the last change and of its last confirmation in milliseconds].
+    :param beyond: names of the zones beyond a cut, of whichever of both.
     :param members: lists [name, zone, host, capacity] of instances heard
         lately.
     """
@@ -111,6 +117,9 @@
     answer_ages: list = field(default_factory=list)
     outcomes: dict = field(default_factory=dict)
     zone_outcomes: dict = field(default_factory=dict)
+    openings: list = field(default_factory=list)
+    withdrawal: list = field(default_factory=list)
+    beyond: list = field(default_factory=list)
     members: list = field(default_factory=list)
 
     @property
@@ -255,8 +264,12 @@
         raise CodedError(Code.PKT_FIELD, repr(exc), 'change') from exc
 
 
-def pack_snapshot(directory, now, key):
-    """Write all that a directory knows, for an instance that is behind."""
+def pack_snapshot(directory, now, key, **standing):
+    """Write all that a directory knows, for an instance that is behind.
+
+    :param standing: ``zone``, ``withdrawal`` and ``beyond`` as in
+        :class:`Beat`; left out where nothing is known of them.
+    """
     content = {
         'routes_version': directory.routes_stamp.version,
         'routes_era': directory.routes_stamp.era,
@@ -281,6 +294,7 @@
             dump_change(name, target, revision, now)
             for name, (target, revision) in directory.list_targets().items()
         ],
+        **standing,
     }
     return seal(zlib.compress(json.dumps(content).encode(), 1), key)
 
@@ -290,6 +304,8 @@
 
     :param warmups: :class:`Warmup` by service; None if it is not told, as
         by an instance of an earlier version.
+    :param zone: the teller's zone; what is told of its withdrawal is as in
+        :class:`Beat`.
     """
 
     routes_stamp: ConfigStamp
@@ -302,6 +318,9 @@
     warmups: dict | None = None
     drained_zones: frozenset = frozenset()
     drained_stamp: Stamp = Stamp()
+    zone: str = ''
+    withdrawal: tuple = ()
+    beyond: tuple = ()
 
 
 def unpack_snapshot(raw, now, key):
@@ -333,6 +352,9 @@
             _load_warmups(content.get('warmups')),
             frozenset(map(str, content.get('drained_zones', ()))),
             _load_stamp(content, 'drained'),
+            str(content.get('zone', '')),
+            _load_withdrawal(content),
+            tuple(map(str, content.get('beyond', ()))),
         )
     except _MALFORMED as exc:
         raise CodedError(Code.PKT_FIELD, repr(exc), 'snapshot') from exc
@@ -370,6 +392,13 @@
     )
 
 
+def _load_withdrawal(content):
+    found = tuple(map(int, content.get('withdrawal', ())))
+    if found and len(found) != 3:
+        raise ValueError(found)
+    return found
+
+
 def _load_warmups(content):
     if content is None:
         return None
@@ -412,6 +441,7 @@
         and _are_texts(beat.drained_zones)
         and _are_members(beat.members)
         and _are_evidence(beat)
+        and _is_standing(beat)
     )
     if not (texts and numbers and ages and lists):
         raise CodedError(Code.PKT_FIELD, 'a field of another type', 'beat')
@@ -441,6 +471,13 @@
     )
 
 
+def _is_standing(beat):
+    counts = (beat.openings, beat.withdrawal)
+    return _are_texts(beat.beyond) and all(
+        found == [] or _are_rows([found], 3) for found in counts
+    )
+
+
 def _are_numbers(found):
     return isinstance(found, list) and all(
         isinstance(number, int) for number in found
--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -77,6 +77,7 @@
         self._sock = sock
         self.complete = threading.Event()
         self.leaving = threading.Event()
+        self.withdrawn = threading.Event()
         self._packets = None
         self._directory = None
         self._client = None
@@ -88,7 +89,15 @@
 
     def is_ready(self):
         """Say whether routers should send packets."""
-        return self.complete.is_set() and not self.leaving.is_set()
+        out = self.leaving.is_set() or self.withdrawn.is_set()
+        return self.complete.is_set() and not out
+
+    def note_withdrawn(self, withdrawn):
+        """Note whether the zone is out of rotation as it cannot serve."""
+        if withdrawn:
+            self.withdrawn.set()
+        else:
+            self.withdrawn.clear()
 
     def start(self):
         """Start all tasks."""
@@ -116,6 +125,7 @@
             wait_s,
             rng,
             self.complete.set,
+            self.note_withdrawn,
         )
         address = (settings.host, port)
         _serve(fetcher.make_server(address, self._read_snapshot))
--- a/features/proofs/guards.py
+++ b/features/proofs/guards.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Callable
 
-from features.proofs import forwarding_guards, switches
+from features.proofs import forwarding_guards, switches, withdrawal_guards
 from features.proofs.patches import Patches
 
 
@@ -268,7 +268,9 @@
     ),
 )
 
-_FORWARDING = tuple(Guard(*item) for item in forwarding_guards.LIST)
+_FORWARDING = tuple(
+    Guard(*item) for item in forwarding_guards.LIST + withdrawal_guards.LIST
+)
 GUARDS = {guard.name: guard for guard in _ALL + _FORWARDING}
 
 
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -11,6 +11,7 @@
     lost_flow_stories,
     part_stories,
     stories,
+    withdrawal_stories,
     world_stories,
     zone_stories,
 )
@@ -25,6 +26,7 @@
     drain_stories,
     cold_stories,
     lost_flow_stories,
+    withdrawal_stories,
 )
 
 
