Test withdrawal with real processes and any beats

Three instances whose targets lie in another zone lose it: all of them leave the rotation, the log explains it, and all return once the targets answer. Beats of the property test carry the new fields too.

--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -47,6 +47,16 @@
     When an operator takes the zone of all targets back
     Then within 3 s every new flow is opened
 
+  Scenario: A zone without targets of its own is cut off
+    Guards against parts that withdraw a zone alone and not together.
+    Given all targets are in another zone
+    When 40 flows are opened and each makes 1 request
+    And the other zone is cut off while callers go on
+    Then all instances leave the rotation together
+    And explaining instance "n1" tells "zone withdrawn"
+    When the other zone is in reach again
+    Then all instances are in rotation and new flows are opened
+
   Scenario: The store is away, and instances restart without it
     An outage must not end open flows.  An instance that restarts then knows
     nothing; what it learns comes from the others, never from a guess.
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -65,12 +65,12 @@
     context.store.put('config', 'main', spec)
 
 
-def put_target(context, target, state='ready'):
+def put_target(context, target, state='ready', zone='a'):
     host, port = target.address
     spec = {
         'service': SERVICES[target.number],
         'address': f'{host}:{port}',
-        'zone': 'a',
+        'zone': zone,
         'max_concurrent': 2,
         'state': state,
         'warmup_left_ms': 0,
@@ -376,6 +376,48 @@
     wait_for(is_in_force, 3, f'new flows are {state}')
 
 
+@given('all targets are in another zone')
+def move_targets(context):
+    for target in context.targets.values():
+        put_target(context, target, zone='b')
+
+
+@when('the other zone is cut off while callers go on')
+def cut_zone(context):
+    # Few flows tell that a zone is away if all of them are idle.
+    ask_all(context, b'request')
+    for target in context.targets.values():
+        target.crashed = True
+
+
+@then('all instances leave the rotation together')
+def check_withdrawn(context):
+    def is_out():
+        open_flows(context, 4)
+        ready = [ask_ready((host, context.ports['ready'])) for host in HOSTS]
+        return not any(ready)
+
+    wait_for(is_out, WAIT_S, 'no instance is ready')
+    for host in HOSTS:
+        assert 'zone_withdrawn 1' in ask_page(host)[1]
+
+
+@when('the other zone is in reach again')
+def mend_zone(context):
+    for target in context.targets.values():
+        target.crashed = False
+
+
+@then('all instances are in rotation and new flows are opened')
+def check_returned(context):
+    def is_back():
+        open_flows(context, 4)
+        return all_ready(context)
+
+    wait_for(is_back, WAIT_S, 'all instances are ready')
+    wait_for_state(context, 'open')
+
+
 @when('the store falls silent and an instance is killed and started again')
 def silence_store(context):
     context.store.silent = True
@@ -496,15 +538,19 @@
 
 
 def explain(context, flow):
-    logs = [str(proc.log) for proc in context.procs.values()]
     address = socket.inet_ntoa(flow.key[0].to_bytes(4))
+    return explain_subject(context, f'{address}:{flow.key[1]}')
+
+
+def explain_subject(context, subject):
+    logs = [str(proc.log) for proc in context.procs.values()]
     done = subprocess.run(
         [
             sys.executable,
             '-m',
             'cornelgap.operators.main',
             'explain',
-            f'{address}:{flow.key[1]}',
+            subject,
             *logs,
         ],
         capture_output=True,
@@ -523,6 +569,12 @@
     assert f'i-{1:08x}' in told, told
 
 
+@then('explaining instance "{name}" tells "{text}"')
+def explain_instance(context, name, text):
+    told = explain_subject(context, name)
+    assert text in told, told
+
+
 @then('explaining a refused flow tells "{text}"')
 def explain_refused(context, text):
     _, flow = context.refused[0]
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -47,6 +47,7 @@
 outcomes = st.dictionaries(
     words, st.builds(Outcomes, ports, ports, ports), max_size=3
 )
+triples = st.lists(words, min_size=3, max_size=3)
 ages = st.one_of(st.none(), st.floats(0, 1000))
 BEATS = st.builds(
     peers.Beat,
@@ -71,6 +72,9 @@
     answers=st.lists(words, max_size=3),
     outcomes=outcomes,
     zone_outcomes=outcomes,
+    openings=st.one_of(st.just([]), triples),
+    withdrawal=st.one_of(st.just([]), triples),
+    beyond=st.lists(names, max_size=2),
     members=st.lists(
         st.tuples(names, names, names, words).map(list), max_size=3
     ),
