--- a/cornelgap/operators/explanation.py
+++ b/cornelgap/operators/explanation.py
@@ -24,6 +24,8 @@
     'follower: store lost',
     'forwarding: process stood still',
     'forwarding: targets given up',
+    'forwarding: zone returned',
+    'forwarding: zone withdrawn',
     'forwarding: zones away',
     'node: ended',
     'node: leaving',
@@ -41,6 +43,8 @@
     'route_dropped': "the configuration no longer has the flow's route",
     'no_target': 'no target of the service is registered, not draining and '
     'in a zone that takes new flows',
+    'withdrawn': 'no target was in reach and the zone was leaving the '
+    'rotation, so that a copy of the opening reaches another zone',
     'cold_targets': 'the targets of the service have just started and had got '
     'their flows of this second',
     'target_silent': 'the target had answered nobody, so its callers were '
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -33,6 +33,22 @@
     And it ends with "the target before had not answered"
     And half a line is reported with code "CFG-001" and its place "e1.log:3"
 
+  Scenario: An opening was dropped while its zone left the rotation
+    Guards against a drop that looks like a lost packet.
+    Given the log of "e3"
+      """
+      {"time": "2026-12-03 11:00:00,100", "level": "WARNING", "part": "cornelgap.directory", "message": "forwarding: zone withdrawn", "instance": "e3", "by": "e4", "cause": "told", "beyond": ["a"]}
+      {"time": "2026-12-03 11:00:00,200", "level": "INFO", "part": "cornelgap.forwarding", "message": "forwarding: packet dropped", "instance": "e3", "flow": "100.64.0.8:40009>198.18.0.1:443", "why": "withdrawn", "copy": 0, "age_s": 0.4}
+      {"time": "2026-12-03 11:00:04,200", "level": "WARNING", "part": "cornelgap.directory", "message": "forwarding: zone returned", "instance": "e3", "by": "e4", "cause": "told", "beyond": ["a"]}
+      """
+    When "100.64.0.8:40009" is explained
+    Then the explanation has the lines
+      | time            | instance | text                                |
+      | 11:00:00.100000 | e3       | zone withdrawn                      |
+      | 11:00:00.200000 | e3       | because no target was in reach      |
+      | 11:00:04.200000 | e3       | zone returned                       |
+    And it ends with "no target was in reach and the zone was leaving"
+
   Scenario: A caller that no line names
     A wrong port must not look like a flow without any trouble.
     When "100.64.0.7:4000" is explained
