Give no target up while this instance loses packets itself

Change: a repeat that its target answers later was lost on the way. Where a tenth of the requests needs such repeats, at several targets, the instance neither judges by its repeats nor by others', and tells nobody of its own. Repeated openings keep further ones away but no longer speak against open flows: a full target is silent to openings and serves what it holds.

--- a/cornelgap/decisions/flow_health.py
+++ b/cornelgap/decisions/flow_health.py
@@ -11,6 +11,10 @@
 confirms a repeated packet at once, so a second repeat (after 0.6 s) is rare.
 Repeats of several flows, a second one among them, without a single answer
 to anybody prove that a target answers nobody.
+
+A target that is full takes no flow and confirms no opening either, while it
+serves those that it holds.  So repeated openings keep further ones away, but
+never speak against open flows.
 """
 
 from msgspec import Struct, field
@@ -35,6 +39,7 @@
 """Age up to which a repeat counts.  Older ones were answered since, by way
 of an instance that we need not have heard."""
 
+OPENING_WEIGHT = 0
 FIRST_WEIGHT = 1
 SECOND_WEIGHT = 2
 SILENT_WEIGHT = 5
@@ -84,18 +89,21 @@
         self._records = {}
         self.witnesses = 1
 
-    def note_repeat(self, key, flow, now, again=False, away=False):
+    def note_repeat(
+        self, key, flow, now, again=False, away=False, opening=False
+    ):
         """Note that a caller repeated what it had sent to a target.
 
         :param flow: tuple (instance, name of the caller's flow).
         :param again: whether it had repeated the same before.
         :param away: whether the target's whole zone is out of reach.
+        :param opening: whether it asks for a flow that is not open yet.
         :returns: whether it speaks against the target.
         """
         record = self._records.setdefault(key, _Record())
         if now - record.answered_at < ANSWER_S:
             return False
-        weight = SECOND_WEIGHT if again else FIRST_WEIGHT
+        weight = _weigh(again, opening)
         record.repeats[flow] = (now, weight)
         record.repeated_at = now
         recent = _list_recent(record, now)
@@ -124,7 +132,9 @@
             return False
         if away:
             return True
-        instances = {name for name, _ in record.repeats}
+        instances = {
+            name for (name, _), (_, weight) in record.repeats.items() if weight
+        }
         return sum(recent) >= SILENT_WEIGHT and len(instances) >= self.witnesses
 
     def note_answer(self, key, answered_at, told=False):
@@ -194,6 +204,12 @@
             self._records.pop(key)
 
 
+def _weigh(again, opening):
+    if opening:
+        return OPENING_WEIGHT
+    return SECOND_WEIGHT if again else FIRST_WEIGHT
+
+
 def _list_recent(record, now):
     """Return the weights of repeats that still count, and drop the others."""
     oldest = now - WINDOW_S
--- /dev/null
+++ b/cornelgap/decisions/path_loss.py
@@ -0,0 +1,99 @@
+"""Whether packets are lost on the way through this instance itself.
+
+Load pattern: callers press until the link of a small instance is full, or a
+network loses packets of everybody.  Callers then repeat to every target, and
+for a target with few flows it looks as if it answered nobody any more.
+Judged by that, targets that serve are given up one after the other, and the
+flows that they hold are reset.
+
+A repeat that is followed by an answer of its target was lost on the way, or
+was late: the target lives.  One here and there is chance; where a part of
+all requests needs them, at several targets, the cause is what these have in
+common.  A target that has crashed, and a zone that is cut off, answer no
+repeat and change nothing here.
+"""
+
+from collections import deque
+
+WINDOW_S = 1.0
+"""Span in which requests and their repeats are counted; it slides."""
+
+LOST_SHARE = 0.1
+"""Repeats for each request from which on a way is lossy.  With fewer lost
+packets, some request to each target is answered between two repeats."""
+
+LEAST_REPEATS = 8
+LEAST_TARGETS = 4
+"""Repeats, and targets that they went to, below which it may be chance or
+the targets themselves."""
+
+HOLD_S = 2.0
+"""Time for which a way counts as lossy after that: callers repeat after at
+most 1.6 s, so what was lost last shows until then."""
+
+
+class PathLoss:
+    """What this instance's own flows say of its way; keys name targets."""
+
+    def __init__(self):
+        """Take the way to be good."""
+        self._requests = deque()
+        self._open_repeats = {}
+        self._lost = deque()
+        self._lossy_until = float('-inf')
+
+    def note_request(self, now):
+        """Note that a caller sent a request."""
+        self._requests.append(now)
+
+    def note_repeat(self, key, now):
+        """Note that a caller repeated what it had sent to a target."""
+        repeats = self._open_repeats.setdefault(key, deque())
+        repeats.append(now)
+        _drop_old(repeats, now)
+
+    def note_answer(self, key, answered_at, now):
+        """Note that a target has answered.
+
+        :param answered_at: time of the answer; the past where a caller told
+            of it late.
+        """
+        repeats = self._open_repeats.get(key)
+        while repeats and repeats[0] <= answered_at:
+            self._lost.append((repeats.popleft(), key))
+        if repeats is not None and not repeats:
+            self._open_repeats.pop(key)
+        if self._is_losing(now):
+            self._lossy_until = now + HOLD_S
+
+    def is_lossy(self, now):
+        """Say whether repeats speak of the way rather than of targets."""
+        return now < self._lossy_until
+
+    def clear(self):
+        """Forget all that was noted, as after a standstill of our own."""
+        self._requests.clear()
+        self._open_repeats.clear()
+        self._lost.clear()
+        self._lossy_until = float('-inf')
+
+    def keep(self, keys):
+        """Forget all targets but these."""
+        for key in self._open_repeats.keys() - keys:
+            self._open_repeats.pop(key)
+
+    def _is_losing(self, now):
+        _drop_old(self._requests, now)
+        while self._lost and now - self._lost[0][0] > WINDOW_S:
+            self._lost.popleft()
+        repeats = len(self._lost)
+        if repeats < LEAST_REPEATS:
+            return False
+        if repeats < LOST_SHARE * len(self._requests):
+            return False
+        return len({key for _, key in self._lost}) >= LEAST_TARGETS
+
+
+def _drop_old(times, now):
+    while times and now - times[0] > WINDOW_S:
+        times.popleft()
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -207,7 +207,9 @@
         if beat.hello:
             self._answer_hello(host, beat.zone)
         self._reports.take_told(beat)
-        evidence = Evidence(beat.repeats, beat.answers, beat.answer_ages)
+        evidence = Evidence(
+            beat.repeats, beat.answers, beat.answer_ages, beat.copies
+        )
         if evidence:
             found = OthersEvidence(beat.name, evidence)
             self._tell_packets(found)
@@ -370,6 +372,7 @@
                 self._neighbours.list_all_near(),
                 self._own.zone,
                 repeats=message.evidence.repeats,
+                copies=message.evidence.copies,
                 answers=message.evidence.answers,
                 answer_ages=message.evidence.ages,
             )
--- a/cornelgap/forwarding/flow_evidence.py
+++ b/cornelgap/forwarding/flow_evidence.py
@@ -44,7 +44,9 @@
         :param target: the target that got the SYN; None if it is unknown.
         :param again: whether it had repeated the same before.
         """
-        self._judge.note_repeat(known.cookie, target, packet, again, now)
+        self._judge.note_repeat(
+            known.cookie, target, packet, again, now, opening=True
+        )
         if again:
             self._note_failure(known)
 
@@ -70,6 +72,7 @@
         )
         if known is not None and flow.waiting_since == now:
             self._watch.note_request(packet.flow, now)
+            self._judge.note_request(now)
 
     def note_overdue(self, now):
         """Note the requests that have waited too long as failures."""
@@ -88,7 +91,9 @@
             waited_s = now - known.waiting_since
             self.answers.add(waited_s)
             known.prompt = self._watch.note_answer(packet.flow, waited_s)
-        self._judge.note_answer(cookie, target, answered_at, known.opened_at)
+        self._judge.note_answer(
+            cookie, target, answered_at, known.opened_at, now
+        )
 
     def _note_end(self, packet, known, closing):
         """Note how the last request of a flow has ended, if it has.
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -158,6 +158,7 @@
         self._silent = []
         self._outliers = []
         self._away = []
+        self._lossy = False
         self.counts = Counter()
         self.handlers = {
             AdoptView: self._adopt_view,
@@ -280,6 +281,14 @@
                 extra={'zones': away, 'before': self._away},
             )
             self._away = away
+        lossy = self._engine.judge.is_lossy(self._turn_at)
+        if lossy != self._lossy:
+            _LOG.warning(
+                'forwarding: packets are lost on the way here'
+                if lossy
+                else 'forwarding: packets are no longer lost'
+            )
+            self._lossy = lossy
 
     def _send_reset(self, key, seq):
         caller = (self._codec.format_ip(key[0]), self._port)
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -72,7 +72,8 @@
     :param zone_loads: within a zone: flows by cookie of all instances
         everywhere; to another zone: those of the sender's zone.
     :param repeats: lists [cookie, flow number, whether again] of callers
-        that repeated.
+        that repeated on open flows.
+    :param copies: the same of callers that repeated an opening.
     :param answers: cookies of targets that answer nevertheless.
     :param answer_ages: ages of these answers in milliseconds.
     :param outcomes: how requests through the sender have ended since its
@@ -107,6 +108,7 @@
     loads: dict = field(default_factory=dict)
     zone_loads: dict | None = None
     repeats: list = field(default_factory=list)
+    copies: list = field(default_factory=list)
     answers: list = field(default_factory=list)
     answer_ages: list = field(default_factory=list)
     outcomes: dict = field(default_factory=dict)
@@ -436,6 +438,7 @@
 def _are_evidence(beat):
     return (
         _are_rows(beat.repeats, 3)
+        and _are_rows(beat.copies, 3)
         and _are_numbers(beat.answers)
         and _are_numbers(beat.answer_ages)
     )
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -2,9 +2,11 @@
 
 Repeats speak against a target, acknowledgements for it, requests that stay
 unanswered against it even so.  The decisions are ``flow_health`` for a
-target that answers nobody, ``target_outliers`` for one that fails some, and
-``zone_reach`` for all targets of a zone; here they are fed, and what is seen
-here is kept for the others to hear.
+target that answers nobody, ``target_outliers`` for one that fails some,
+``zone_reach`` for all targets of a zone and ``path_loss`` for this instance
+itself; here they are fed, and what is seen here is kept for the others to
+hear.  An instance that loses packets itself gives nobody up and is no
+witness for others.
 """
 
 from itertools import chain, repeat
@@ -12,6 +14,7 @@
 from msgspec import Struct, field
 
 from cornelgap.decisions.flow_health import FlowHealth
+from cornelgap.decisions.path_loss import PathLoss
 from cornelgap.decisions.target_outliers import Outcomes, TargetOutliers
 from cornelgap.decisions.zone_reach import ZoneReach
 
@@ -32,7 +35,8 @@
     """What the flows of one instance say of targets.
 
     :param repeats: lists [cookie, flow number, whether again] of callers
-        that repeated.
+        that repeated on open flows.
+    :param copies: the same of callers that repeated an opening.
     :param answers: cookies of targets that answer nevertheless, or whose
         zone is back.
     :param ages: ages of these answers in milliseconds; 0 if left out.
@@ -41,10 +45,11 @@
     repeats: list = field(default_factory=list)
     answers: list = field(default_factory=list)
     ages: list = field(default_factory=list)
+    copies: list = field(default_factory=list)
 
     def __bool__(self):
         """Say whether there is anything to tell."""
-        return bool(self.repeats or self.answers)
+        return bool(self.repeats or self.copies or self.answers)
 
     def add_answer(self, cookie, age_s=0):
         """Add an answer.
@@ -54,6 +59,11 @@
         self.answers.append(cookie)
         self.ages.append(round(age_s * 1000))
 
+    def list_repeats(self):
+        """Return tuples (cookie, flow number, again, opening)."""
+        openings = ((*row, True) for row in self.copies)
+        return [*((*row, False) for row in self.repeats), *openings]
+
     def list_answers(self, now):
         """Return tuples (cookie, time of the answer)."""
         ages = chain(self.ages, repeat(0))
@@ -74,6 +84,7 @@
         self._health = FlowHealth()
         self._reach = ZoneReach()
         self._outliers = TargetOutliers()
+        self._path = PathLoss()
         self._evidence = Evidence()
         self._outcomes = {}
         self._began_at = None
@@ -93,6 +104,7 @@
         """Forget all targets but these."""
         self._health.keep(cookies)
         self._outliers.keep(cookies)
+        self._path.keep(cookies)
 
     def forget(self, cookie):
         """Forget one target, as it has started anew."""
@@ -104,6 +116,7 @@
         self._health.clear()
         self._outliers.clear()
         self._reach.clear()
+        self._path.clear()
         self._began_at = None
 
     def note_packet(self, now):
@@ -111,17 +124,25 @@
         if self._began_at is None:
             self._began_at = now
 
-    def note_repeat(self, cookie, target, packet, again, now):
+    def note_request(self, now):
+        """Note that a caller sent a request through here."""
+        self._path.note_request(now)
+
+    def note_repeat(self, cookie, target, packet, again, now, opening=False):
         """Note that a caller repeated a packet that had passed here.
 
         :param target: the target of the cookie, None if it is not known.
         :param again: whether it had repeated the same before.
+        :param opening: whether the flow is not open yet.
         """
+        self._path.note_repeat(cookie, now)
+        if self._path.is_lossy(now):
+            return
         flow = (OWN, packet.flow)
-        if self._judge_repeat(cookie, target, flow, again, now):
-            self._evidence.repeats.append(
-                [cookie, packet.source_port, int(again)]
-            )
+        if self._judge_repeat(cookie, target, flow, again, opening, now):
+            kept = self._evidence
+            rows = kept.copies if opening else kept.repeats
+            rows.append([cookie, packet.source_port, int(again)])
 
     def note_outcome(self, cookie, kind):
         """Note how a request through here has ended.
@@ -152,11 +173,12 @@
             if not outcomes.keys().isdisjoint(cookies):
                 self._outliers.judge(cookies, now)
 
-    def note_answer(self, cookie, target, answered_at, opened_at):
+    def note_answer(self, cookie, target, answered_at, opened_at, now):
         """Note since when a target is known to have answered.
 
         :param opened_at: when the flow of the answer was first seen here.
         """
+        self._path.note_answer(cookie, answered_at, now)
         away_since = self._take_answer(cookie, target, answered_at)
         if away_since is not None and opened_at > away_since:
             # One instance probes for all: the others have no flow there, and
@@ -182,14 +204,16 @@
             target = by_cookie.get(cookie)
             self._take_answer(cookie, target, answered_at, told=True)
         alive = Evidence()
-        for cookie, number, again in evidence.repeats:
+        for cookie, number, again, opening in evidence.list_repeats():
             age = self._health.find_answer(cookie, now)
             if age is not None:
                 alive.add_answer(cookie, age)
                 continue
+            if self._path.is_lossy(now):
+                continue
             flow = (instance, number)
             target = by_cookie.get(cookie)
-            self._judge_repeat(cookie, target, flow, bool(again), now)
+            self._judge_repeat(cookie, target, flow, bool(again), opening, now)
         return alive
 
     def choose_avoided_zones(self, now):
@@ -207,6 +231,10 @@
         """Say whether a zone is away, be it due for a probe or not."""
         return self._reach.is_away(zone)
 
+    def is_lossy(self, now):
+        """Say whether packets are lost on the way through this instance."""
+        return self._path.is_lossy(now)
+
     def list_away(self):
         """Return the names of zones that are away, in order."""
         return self._reach.list_away()
@@ -227,13 +255,13 @@
         One packet now and then may, so that an answer can show that the
         target is back.
         """
-        if self._is_young(now) or not self._health.is_silent(cookie, now):
+        if self._is_doubtful(now) or not self._health.is_silent(cookie, now):
             return False
         return not self._health.take_probe(cookie, now)
 
     def find_fresh_silent(self, cookies, now):
         """Return those of some targets that have fallen silent just now."""
-        if self._is_young(now):
+        if self._is_doubtful(now):
             return frozenset()
         silent = frozenset(
             cookie for cookie in cookies if self._health.is_silent(cookie, now)
@@ -249,13 +277,13 @@
             return None
         return self._reach.note_answer(target.zone, answered_at)
 
-    def _judge_repeat(self, cookie, target, flow, again, now):
+    def _judge_repeat(self, cookie, target, flow, again, opening, now):
         away = False
         if target is not None:
             if again:
                 self._reach.note_repeat(target.zone, cookie, flow[0], now)
             away = self._is_surely_away(target.zone, now)
-        return self._health.note_repeat(cookie, flow, now, again, away)
+        return self._health.note_repeat(cookie, flow, now, again, away, opening)
 
     def _is_surely_away(self, zone, now):
         """Say whether a zone is away by more than the repeats of a start.
@@ -265,5 +293,9 @@
         """
         return self._reach.is_away(zone) and not self._is_young(now)
 
+    def _is_doubtful(self, now):
+        """Say whether what is seen here may be a fault on our own side."""
+        return self._is_young(now) or self._path.is_lossy(now)
+
     def _is_young(self, now):
         return self._began_at is None or now - self._began_at < YOUNG_S
--- /dev/null
+++ b/features/path_loss.feature
@@ -0,0 +1,19 @@
+Feature: Flows of targets that serve are not reset because packets are lost
+
+  Scenario: The link of an instance fills, and all its callers repeat
+    Guards against giving up targets whose answers are late or lost.
+    When the proof story "full link" is played
+    Then the proof checkers have no objection
+    But they object once the guard "path-loss" is taken out
+
+  Scenario: Instances with full links are no witnesses for the others
+    Guards against giving up targets on what choked instances tell.
+    When the proof story "witnesses with full links" is played
+    Then the proof checkers have no objection
+    But they object once the guard "path-loss" is taken out
+
+  Scenario: A full target answers no opening
+    Guards against taking a full target for a crashed one.
+    When the proof story "full target" is played
+    Then the proof checkers have no objection
+    But they object once the guard "opening-silence" is taken out
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -4,6 +4,7 @@
     cold_starts,
     flow_health,
     following,
+    path_loss,
     target_choice,
     target_outliers,
     zone_reach,
@@ -368,6 +369,14 @@
     patches.set_attr(flows.FlowTable, 'list_held', list_held)
 
 
+def trust_own_way(patches):
+    patches.set_attr(path_loss.PathLoss, 'is_lossy', lambda self, now: False)
+
+
+def weigh_openings(patches):
+    patches.set_attr(flow_health, 'OPENING_WEIGHT', flow_health.SECOND_WEIGHT)
+
+
 LIST = (
     (
         'zone-drained',
@@ -683,6 +692,18 @@
         'an entry that names no target ends no flow',
         leave_out_unreadable,
     ),
+    (
+        'path-loss',
+        14,
+        'an instance that loses packets itself gives no target up',
+        trust_own_way,
+    ),
+    (
+        'opening-silence',
+        14,
+        'a target that takes no flow may serve those that it holds',
+        weigh_openings,
+    ),
     (
         'late-answer',
         1,
--- a/features/proofs/lost_flow_stories.py
+++ b/features/proofs/lost_flow_stories.py
@@ -109,7 +109,10 @@
 
 
 def tell_evidence(desks):
-    """Let each instance hear what the others see, and they its reply."""
+    """Let each instance hear what the others see, and they its reply.
+
+    :returns: for each instance, the callers that it resets then.
+    """
     told = [
         (name, desk.engine.judge.take_evidence())
         for name, desk in enumerate(desks)
@@ -123,8 +126,7 @@
                 continue
             alive = desk.engine.note_evidence(f'n{name}', evidence, desk.now)
             told.append((other, alive))
-    for desk in desks:
-        desk.engine.reset_lost(desk.now)
+    return [list_reset(desk) for desk in desks]
 
 
 def play_flows_of_live_targets():
--- /dev/null
+++ b/features/proofs/path_loss_stories.py
@@ -0,0 +1,139 @@
+"""Stories of instances that lose packets while all targets serve.
+
+Each returns the violations that it saw, so that the same story is played
+with its guard and without it.
+"""
+
+from collections import Counter
+
+from cornelgap.forwarding.packets import Reset
+from features.proofs.forwarding_desk import Desk, make_route, make_target
+from features.proofs.lost_flow_stories import list_reset, tell_evidence
+
+TARGETS = tuple(make_target(number) for number in range(1, 13))
+FLOWS = 3
+"""Callers with a flow on each target."""
+
+STEP_S = 0.05
+ENDS_S = 6.0
+REPEATS_S = (0.2, 0.6, 1.4)
+"""When a caller repeats its request, seconds after it."""
+
+PERIOD_S = 2.0
+"""Each caller sends a request so often."""
+
+
+class SlowWay:
+    """Callers of one instance, whose packets wait ever longer on its link.
+
+    :param delay: function of the time to the seconds until an answer shows.
+    """
+
+    def __init__(self, delay, **kept):
+        """Open flows of all callers on all targets."""
+        self.desk = Desk(**kept)
+        self.desk.set_routes(make_route('search'))
+        self.desk.set_targets(*TARGETS)
+        self._delay = delay
+        self._events = []
+        self._acks = Counter()
+        begin = self.desk.now
+        self.resets = set()
+        for number, target in enumerate(TARGETS):
+            for flow in range(FLOWS):
+                caller = 40001 + number * FLOWS + flow
+                self._acks[caller] = 1
+                self.desk.send(caller, target, ack=1)
+                first = begin + PERIOD_S * number / len(TARGETS) + 0.01 * flow
+                self._plan(caller, target, first, begin + ENDS_S)
+
+    def _plan(self, caller, target, at, end):
+        while at < end:
+            answered = at + self._delay(at - 100)
+            self._events.append((at, caller, target, 100))
+            for after in REPEATS_S:
+                if at + after < answered:
+                    self._events.append((at + after, caller, target, 100))
+            self._events.append((answered, caller, target, 0))
+            at += PERIOD_S
+
+    def run_step(self):
+        """Handle the packets of the next step."""
+        self.desk.pass_time(STEP_S)
+        self.desk.confirm()
+        due = [event for event in self._events if event[0] <= self.desk.now]
+        self._events = [item for item in self._events if item not in due]
+        for _, caller, target, size in sorted(due, key=lambda item: item[:2]):
+            if not size:
+                self._acks[caller] += 500
+            acked = self._acks[caller]
+            effect = self.desk.send(
+                caller, target, ack=acked, size=size, seq=1000 + acked
+            )
+            if isinstance(effect, Reset):
+                self.resets.add(caller)
+        self.resets |= list_reset(self.desk)
+
+
+def grow_delay(passed_s):
+    """Return the delay of a link whose queue grows to 0.75 s."""
+    return 0.03 + min(0.75, max(0, passed_s - 0.5) * 0.5)
+
+
+def keep_prompt(_passed_s):
+    """Return the delay of a link that is not full."""
+    return 0.03
+
+
+def find_broken(ways):
+    """Return an objection if flows of live targets were reset."""
+    reset = sum(len(way.resets) for way in ways)
+    return [f'{reset} flows of live targets were reset'] if reset else []
+
+
+def play_full_link():
+    """The link of an instance fills, and all its callers repeat."""
+    way = SlowWay(grow_delay)
+    for _ in range(int(ENDS_S / STEP_S)):
+        way.run_step()
+    return find_broken([way])
+
+
+def play_witnesses_with_full_links():
+    """Three instances with full links tell a fourth one what they see.
+
+    Callers of the fourth read what they have got, so that no answer shows
+    there.
+    """
+    ways = [SlowWay(grow_delay, seed=seed) for seed in (1, 2, 3)]
+    idle = SlowWay(keep_prompt, seed=4)
+    ways.append(idle)
+    for rank, way in enumerate(ways):
+        way.desk.engine.note_others({}, len(ways), pause_s=1, rank=rank)
+    idle._events = idle._events[:FLOWS]
+    for _ in range(int(ENDS_S / STEP_S)):
+        for way in ways:
+            way.run_step()
+        reset = tell_evidence([way.desk for way in ways])
+        for way, callers in zip(ways, reset, strict=True):
+            way.resets |= callers
+    return find_broken([idle])
+
+
+def play_full_target():
+    """A full target answers no opening; its open flows are idle."""
+    desk = Desk()
+    desk.set_routes(make_route('search'))
+    desk.set_targets(TARGETS[0])
+    for caller in range(40001, 40005):
+        desk.send(caller, TARGETS[0], ack=1)
+        desk.send(caller, TARGETS[0], ack=500)
+    desk.pass_time(2)
+    found = []
+    for wait, copy in ((0, 0), (0.2, 1), (0.4, 2)):
+        desk.pass_time(wait)
+        for caller in range(41001, 41009):
+            desk.open(caller, copy=copy)
+        if desk.engine.reset_lost(desk.now):
+            found.append('flows of a full target were reset')
+    return found
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -10,6 +10,7 @@
     guards,
     lost_flow_stories,
     part_stories,
+    path_loss_stories,
     stories,
     world_stories,
     zone_stories,
@@ -25,6 +26,7 @@
     drain_stories,
     cold_stories,
     lost_flow_stories,
+    path_loss_stories,
 )
 
 
