--- a/cornelgap/forwarding/metric_page.py
+++ b/cornelgap/forwarding/metric_page.py
@@ -45,6 +45,11 @@
         GAUGE,
         'Flows that wait for an answer.',
     ),
+    Metric(
+        f'{_PREFIX}way_lossy',
+        GAUGE,
+        '1 while packets are lost on the way through this instance.',
+    ),
     Metric(
         f'{_PREFIX}directory_age_seconds',
         GAUGE,
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -399,5 +399,6 @@
             'answer_seconds_bucket': dict(self._engine.answers.counts),
             'flows': sum(load.flows for load in loads),
             'waiting': sum(load.waiting for load in loads),
+            'way_lossy': int(self._engine.judge.is_lossy(self._turn_at)),
         }
         return dict(self.counts), gauges, self._packet_at
--- a/cornelgap/operators/explanation.py
+++ b/cornelgap/operators/explanation.py
@@ -22,6 +22,8 @@
     'follower: store era',
     'follower: store is back',
     'follower: store lost',
+    'forwarding: packets are lost on the way here',
+    'forwarding: packets are no longer lost',
     'forwarding: process stood still',
     'forwarding: targets given up',
     'forwarding: zones away',
