--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -13,6 +13,7 @@
 from cornelgap.cfg import publishing
 from cornelgap.cfg.folder import load_folder
 from cornelgap.cfg.store import PlatformStore
+from cornelgap.core.stamps import Stamp
 from cornelgap.wire import target_pb2, target_pb2_grpc
 
 OPEN_S = 30
@@ -217,7 +218,7 @@
             raise RuntimeError(f'bad configuration: {findings}')
         store = PlatformStore.from_address(self.platform.greeting['address'])
         result = publishing.publish(
-            store, cfg, 'demo', 'the demo starts', secrets.token_hex(8), 0
+            store, cfg, 'demo', 'the demo starts', secrets.token_hex(8), Stamp()
         )
         store.close()
         if not result.accepted:
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,6 +25,7 @@
 from cornelgap.core import messages as msg
 from cornelgap.core.control import Instance
 from cornelgap.core.settings import Cfg, KeyCfg, ServiceCfg, TargetCfg
+from cornelgap.core.stamps import Stamp
 from cornelgap.decisions.membership import Membership
 from cornelgap.entry.engine import Engine
 from cornelgap.entry.views import read_status, read_view
@@ -141,6 +142,7 @@
         ]
 
         clock = [0.0]
+        stamp = Stamp(1, 3)
 
         def work():
             members.note_listed(clock[0], listed)
@@ -148,9 +150,9 @@
                 clock[0] += TICK_S
                 now = clock[0]
                 for name in members.choose_pings(now):
-                    members.note_heard(now, name, 7, 3, False, 'api')
+                    members.note_heard(now, name, 7, stamp, False, 'api')
                 if step % 5 == 0:
-                    members.list_ahead(3)
+                    members.list_ahead(stamp)
                     members.has_unknown()
                 if step % 50 == 0:
                     members.list_live_instances(now)
--- a/bench/spread.py
+++ b/bench/spread.py
@@ -43,7 +43,7 @@
         while True:
             fleet.run_turn()
             have = sum(
-                driver.dist.revision == revision
+                driver.dist.stamp.revision == revision
                 for driver in fleet.drivers.values()
             )
             if have * 2 >= size and not half:
--- a/cornelgap/cfg/applying.py
+++ b/cornelgap/cfg/applying.py
@@ -8,8 +8,9 @@
 from cornelgap.cfg.comparison import find_key_steps, find_unsafe, list_changes
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import KeyStage
+from cornelgap.core.stamps import Stamp
 
-# The revision that the folder was last applied as.  Without it a second
+# Revision and era that the folder was last applied as.  Without it a second
 # operator's older copy would undo the first one's change unseen.
 _BASE_FILE = '.base-revision'
 
@@ -89,39 +90,49 @@
 
 
 def choose_base(folder, given, in_force):
-    """Choose the revision that a folder's change was made from.
+    """Choose the configuration that a folder's change was made from.
 
     :param folder: the folder.
-    :param given: revision that the operator states, or None.
-    :param in_force: revision in force, 0 if nothing was published yet.
+    :param given: revision that the operator states, or None; it is one of
+        the era of what is in force.
+    :param in_force: :class:`~cornelgap.core.stamps.Stamp` of what is in
+        force, revision 0 if nothing was published yet.
+    :return: its stamp.
     :raises CodedError: ``OPS_NO_BASE`` if nothing tells the base.
     """
     if given is not None:
-        return given
+        return Stamp(in_force.era, given)
     noted = read_noted_base(folder)
     if noted is not None:
-        return noted
-    if in_force == 0:
-        return 0
+        return Stamp(noted.era or in_force.era, noted.revision)
+    if not in_force.revision:
+        return in_force
     raise CodedError(
         Code.OPS_NO_BASE,
         f'this folder was never applied; look at: cornelgap diff {folder}, '
-        f'then repeat with --base {in_force}',
+        f'then repeat with --base {in_force.revision}',
     )
 
 
 def read_noted_base(folder):
-    """Read the revision that the folder was last applied as, or None."""
+    """Read as what the folder was last applied.
+
+    :return: its :class:`~cornelgap.core.stamps.Stamp`, of era 0 if the note
+        names none; None if there is no note.
+    """
     try:
-        return int((Path(folder) / _BASE_FILE).read_text())
-    except (OSError, ValueError):
+        text = (Path(folder) / _BASE_FILE).read_text()
+        revision, *era = map(int, text.split())
+        return Stamp(*era, revision=revision)
+    except (OSError, TypeError, ValueError):
         return None
 
 
-def note_base(folder, revision):
-    """Note in the folder which revision it was applied as.
+def note_base(folder, stamp):
+    """Note in the folder as what it was applied.
 
     :param folder: the folder.
-    :param revision: the accepted revision.
+    :param stamp: :class:`~cornelgap.core.stamps.Stamp` of the accepted
+        configuration.
     """
-    (Path(folder) / _BASE_FILE).write_text(f'{revision}\n')
+    (Path(folder) / _BASE_FILE).write_text(f'{stamp.revision} {stamp.era}\n')
--- a/cornelgap/cfg/document.py
+++ b/cornelgap/cfg/document.py
@@ -117,10 +117,11 @@
     return join_bundle(root, parts.values())
 
 
-def decode_bundle(data):
+def decode_bundle(data, era=0):
     """Decode a bundle and check that nothing in it is missing or altered.
 
     :param data: what :func:`encode_bundle` or :func:`complete_bundle` gave.
+    :param era: era of the platform's store in which it was read.
     :return: the Cfg, or None if anything is wrong; and findings.
     """
     try:
@@ -128,7 +129,7 @@
         root, findings = read_root(bundle.root)
         if findings:
             return None, findings
-        return _build_cfg(root, bundle.parts)
+        return _build_cfg(root, bundle.parts, era)
     except (DecodeError, ValueError) as exc:
         return None, [_report_corrupt(f'cannot be decoded: {exc}')]
 
@@ -224,7 +225,7 @@
     )
 
 
-def _build_cfg(root, parts):
+def _build_cfg(root, parts, era):
     # A part that was altered or is missing would drop services silently;
     # callers would hear that their service does not exist.
     if [digest(part) for part in parts] != [ref.digest for ref in root.parts]:
@@ -243,6 +244,7 @@
         services=services,
         keys=keys,
         draining_instances=frozenset(root.draining_instances),
+        era=era,
     )
     return cfg, []
 
--- a/cornelgap/cfg/pruning.py
+++ b/cornelgap/cfg/pruning.py
@@ -1,6 +1,6 @@
 """Delete the parts that past revisions have left behind in the platform."""
 
-from cornelgap.cfg.reading import PART_PREFIX, name_part, read_root
+from cornelgap.cfg.reading import PART_PREFIX, name_part, read_root_object
 from cornelgap.core.errors import CodedError
 
 # How many revisions an unused part outlives its last use at least.
@@ -18,9 +18,10 @@
     """
     deleted = 0
     try:
-        _, root = read_root(store)
+        found, root = read_root_object(store)
         for item in list_unused(store, root):
-            deleted += store.delete(item.name, item.version)
+            # A restored root may name what the lost ones had left behind.
+            deleted += store.delete(item.name, item.version, found.era)
     except CodedError:
         return deleted
     return deleted
--- a/cornelgap/cfg/publishing.py
+++ b/cornelgap/cfg/publishing.py
@@ -20,8 +20,11 @@
     read_base,
     read_current,
     read_root,
+    read_root_object,
 )
+from cornelgap.cfg.store import Versioned
 from cornelgap.core.errors import Code, CodedError
+from cornelgap.core.stamps import Stamp
 
 # Reading is used along with publishing, so it is found here as well.
 __all__ = (
@@ -54,6 +57,7 @@
     :param meanwhile: :class:`cornelgap.cfg.audit.AuditRecord` of the
         changes that others made since the base, newest first.
     :param text: one short sentence.
+    :param era: era of the platform's store that the revision is of.
     """
 
     accepted: bool
@@ -62,6 +66,12 @@
     write_id: str = ''
     meanwhile: tuple = ()
     text: str = ''
+    era: int = 0
+
+    @property
+    def stamp(self):
+        """Return the revision's place among all configurations."""
+        return Stamp(self.era, self.revision)
 
 
 @dataclass(slots=True)
@@ -69,13 +79,13 @@
     """One publication under way.
 
     :param base: wire Root that the change is made from.
-    :param version: version of the root object, 0 if there is none.
+    :param found: object of that root, version 0 if there is none.
     :param root: next root as bytes.
     :param objects: values by name to store before it.
     """
 
     base: object
-    version: int = 0
+    found: Versioned
     root: bytes = b''
     objects: dict = field(default_factory=dict)
 
@@ -86,7 +96,7 @@
     author,
     message,
     write_id,
-    base_revision=None,
+    base=None,
     now_ms=None,
     pause=time.sleep,
 ):
@@ -97,8 +107,9 @@
     :param author: who changes it.
     :param message: why; must not be empty.
     :param write_id: unique id, by which a lost answer is settled.
-    :param base_revision: revision that the change was made from; if another
-        is in force, the race is lost.  None means the one in force.
+    :param base: :class:`~cornelgap.core.stamps.Stamp` of the configuration
+        that the change was made from; if another is in force, the race is
+        lost.  None means the one in force.
     :param now_ms: author's clock, milliseconds since the epoch.
     :param pause: waits for a number of seconds between tries.
     :return: a :class:`PublishResult`.
@@ -110,7 +121,7 @@
     at_unix_ms = int(time.time() * 1000) if now_ms is None else now_ms
     new = audit.NewEntry(author, at_unix_ms, message, write_id, [])
     try:
-        result = _publish(store, cfg, new, base_revision, pause)
+        result = _publish(store, cfg, new, base, pause)
     except CodedError as exc:
         return PublishResult(False, exc.code, write_id=write_id, text=exc.text)
     if result.accepted and result.revision % _PRUNE_EVERY == 0:
@@ -118,45 +129,48 @@
     return result
 
 
-def _publish(store, cfg, new, base_revision, pause):
-    version, base = read_root(store)
-    done = _find_own(store, base, new.write_id)
+def _publish(store, cfg, new, base, pause):
+    found, root = read_root_object(store)
+    done = _find_own(root, new.write_id)
     if done is not None:
-        return PublishResult(True, '', done.revision, new.write_id)
-    if base_revision is not None and base_revision != base.revision:
-        return _refuse_stale_base(store, base, base_revision, new.write_id)
-    attempt = _prepare(store, cfg, new, base, version)
+        return _accept(found, done.revision, new.write_id)
+    if base is not None and base != Stamp(found.era, root.revision):
+        return _refuse_stale_base(store, found, root, base, new.write_id)
+    attempt = _prepare(store, cfg, new, root, found)
     if attempt is None:
-        return PublishResult(
-            True, '', base.revision, new.write_id, text='nothing to change'
-        )
+        return _accept(found, root.revision, new.write_id, 'nothing to change')
     for name, value in attempt.objects.items():
         _store_part(store, name, value, pause)
     return _write_root(store, attempt, new.write_id, pause)
 
 
-def settle_earlier(store, base_revision, write_id):
+def _accept(found, revision, write_id, text=''):
+    return PublishResult(True, '', revision, write_id, text=text, era=found.era)
+
+
+def settle_earlier(store, base, write_id):
     """Say how an earlier try ended, without writing anything.
 
     For a change whose base is not in force: it was accepted earlier, or it
     has lost the race.
 
     :param store: the platform's store.
-    :param base_revision: revision that the change was made from.
+    :param base: :class:`~cornelgap.core.stamps.Stamp` that the change was
+        made from.
     :param write_id: id of the earlier try.
     :return: a :class:`PublishResult`.
     """
     try:
-        _, root = read_root(store)
-        done = _find_own(store, root, write_id)
+        found, root = read_root_object(store)
+        done = _find_own(root, write_id)
         if done is not None:
-            return PublishResult(True, '', done.revision, write_id)
-        return _refuse_stale_base(store, root, base_revision, write_id)
+            return _accept(found, done.revision, write_id)
+        return _refuse_stale_base(store, found, root, base, write_id)
     except CodedError as exc:
         return PublishResult(False, exc.code, write_id=write_id, text=exc.text)
 
 
-def _prepare(store, cfg, new, base, version):
+def _prepare(store, cfg, new, base, found):
     """Build the next root and what it names, or None if nothing changes."""
     old, _, findings = read_base(store, base)
     if findings:
@@ -178,7 +192,7 @@
         for address, value in parts.items()
         if address not in known
     }
-    return _Attempt(base, version, root, objects | trail.objects)
+    return _Attempt(base, found, root, objects | trail.objects)
 
 
 def _store_part(store, name, value, pause):
@@ -217,11 +231,13 @@
             pause(wait)
         try:
             accepted, current = store.put(
-                ROOT_NAME, attempt.version, attempt.root
+                ROOT_NAME,
+                attempt.found.version,
+                attempt.root,
+                attempt.found.era,
             )
             if accepted:
-                revision = attempt.base.revision + 1
-                return PublishResult(True, '', revision, write_id)
+                return _accept(current, attempt.base.revision + 1, write_id)
             return _settle(store, attempt, current, write_id)
         except CodedError as exc:
             if doubt is None and exc.code != Code.PLT_ANSWER_LOST:
@@ -234,6 +250,7 @@
         write_id,
         text='it is not known whether the change is in force; '
         f'repeat with write id {write_id}',
+        era=attempt.found.era,
     )
 
 
@@ -244,26 +261,37 @@
     root, findings = document.read_root(current.value)
     if findings:
         raise CodedError(Code.PLT_CORRUPT, findings[0].text, ROOT_NAME)
-    since = list_since(store, root, attempt.base.revision)
-    own = [entry for entry in since if entry.write_id == write_id]
-    if own:
-        return PublishResult(True, '', own[0].revision, write_id)
-    return _lose_race(root, since, write_id)
+    base = Stamp(attempt.found.era, attempt.base.revision)
+    return _compare_trail(store, current, root, base, write_id)
 
 
-def _lose_race(root, since, write_id):
+def _compare_trail(store, found, root, base, write_id):
+    """Say from what came after the base whether the change is in force."""
+    since = list_since(store, root, base.revision)
+    own = [entry for entry in since if entry.write_id == write_id]
+    if own:
+        return _accept(found, own[0].revision, write_id)
+    text = f'revision {root.revision} came first'
+    if base.revision and found.era != base.era:
+        # The numbers of another era do not tell what came since the base.
+        since = ()
+        text = (
+            "the platform's store was restored from a backup; "
+            f'revision {root.revision} is in force'
+        )
     return PublishResult(
         False,
         Code.OPS_RACE_LOST,
         root.revision,
         write_id,
         tuple(since),
-        f'revision {root.revision} came first',
+        text,
+        found.era,
     )
 
 
-def _refuse_stale_base(store, root, base_revision, write_id):
-    if root.revision < base_revision:
+def _refuse_stale_base(store, found, root, base, write_id):
+    if Stamp(found.era, root.revision) < base:
         # A lagging store would make an accepted change look reverted.
         return PublishResult(
             False,
@@ -271,16 +299,13 @@
             root.revision,
             write_id,
             text=f'the platform shows revision {root.revision}, older than '
-            f'the base {base_revision}',
+            f'the base {base.revision}',
+            era=found.era,
         )
-    since = list_since(store, root, base_revision)
-    own = [entry for entry in since if entry.write_id == write_id]
-    if own:
-        return PublishResult(True, '', own[0].revision, write_id)
-    return _lose_race(root, since, write_id)
+    return _compare_trail(store, found, root, base, write_id)
 
 
-def _find_own(store, root, write_id):
+def _find_own(root, write_id):
     """Find a repeated publication's entry among the newest ones."""
     for data in root.entries:
         record = audit.decode_entry(data)
--- a/cornelgap/cfg/reading.py
+++ b/cornelgap/cfg/reading.py
@@ -2,6 +2,7 @@
 
 from cornelgap.cfg import audit, document
 from cornelgap.cfg.findings import CfgFinding
+from cornelgap.cfg.store import Versioned
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import Cfg
 from cornelgap.wire import document_pb2 as wire
@@ -31,13 +32,25 @@
         empty Root if nothing was published yet.
     :raises CodedError: ``PLT_DOWN`` or ``PLT_CORRUPT``.
     """
+    found, root = read_root_object(store)
+    return found.version, root
+
+
+def read_root_object(store):
+    """Read the root in force along with the object that holds it.
+
+    :param store: the platform's store.
+    :return: :class:`cornelgap.cfg.store.Versioned` and the wire Root;
+        version 0 and an empty Root if nothing was published yet.
+    :raises CodedError: ``PLT_DOWN`` or ``PLT_CORRUPT``.
+    """
     found = store.get(ROOT_NAME)
     if found is None:
-        return 0, wire.Root(format=document.FORMAT)
+        return Versioned(0, b''), wire.Root(format=document.FORMAT)
     root, findings = document.read_root(found.value)
     if findings:
         raise CodedError(Code.PLT_CORRUPT, findings[0].text, ROOT_NAME)
-    return found.version, root
+    return found, root
 
 
 def read_current(store, known=b''):
@@ -50,12 +63,12 @@
         published yet.
     """
     try:
-        bundle = _read_bundle(store, known)
+        bundle, era = _read_bundle(store, known)
     except CodedError as exc:
         return None, b'', [CfgFinding(exc.code, exc.text, file=exc.place)]
     if not bundle:
         return Cfg(), b'', []
-    cfg, findings = document.decode_bundle(bundle)
+    cfg, findings = document.decode_bundle(bundle, era)
     return cfg, bundle, findings
 
 
@@ -65,17 +78,17 @@
     Old parts are pruned, so a slow reader of an old root may find one gone;
     taken for damage, that would raise a false alarm.
     """
-    version = None
+    before = None
     while True:
         found = store.get(ROOT_NAME)
         if found is None:
-            return b''
+            return b'', 0
         try:
-            return _fetch_bundle(store, found.value, known)
+            return _fetch_bundle(store, found.value, known), found.era
         except CodedError:
-            if found.version == version:
+            if found == before:
                 raise
-        version = found.version
+        before = found
 
 
 def _fetch_bundle(store, data, known):
--- a/cornelgap/cfg/store.py
+++ b/cornelgap/cfg/store.py
@@ -38,10 +38,16 @@
 
 
 class Versioned(NamedTuple):
-    """A stored value and the version that a conditional write must name."""
+    """A stored value, and what a conditional write must name.
+
+    :param version: number of the object's last change.
+    :param era: how often the store was restored from a backup, which may
+        reissue versions; 0 if the platform does not say.
+    """
 
     version: int
     value: bytes
+    era: int = 0
 
 
 class Named(NamedTuple):
@@ -50,6 +56,7 @@
     name: str
     version: int
     value: bytes
+    era: int = 0
 
 
 class PutResult(NamedTuple):
@@ -73,9 +80,10 @@
     def get(self, name):
         """Get an object as :class:`Versioned`, or None."""
 
-    def put(self, name, expected_version, value):
+    def put(self, name, expected_version, value, expected_era=0):
         """Write if the version is still the expected one, 0 for absent.
 
+        :param expected_era: era in which the version was read; 0 for any.
         :return: :class:`PutResult`.
         """
 
@@ -85,9 +93,10 @@
         :param names_only: leave the values empty.
         """
 
-    def delete(self, name, expected_version):
+    def delete(self, name, expected_version, expected_era=0):
         """Delete an object if its version is still the expected one.
 
+        :param expected_era: era in which the version was read; 0 for any.
         :return: whether it was deleted.
         """
 
@@ -137,16 +146,19 @@
         reply = self._read(self._stub.Get, wire.GetRequest(name=name))
         if not reply.found:
             return None
-        return Versioned(reply.object.version, reply.object.value)
+        return _decode(reply.object)
 
-    def put(self, name, expected_version, value):
+    def put(self, name, expected_version, value, expected_era=0):
         """Write conditionally, see :class:`Store`."""
         if len(value) > MAX_VALUE_BYTES:
             raise CodedError(
                 Code.PLT_TOO_LARGE, f'{len(value)} bytes', place=name
             )
         req = wire.PutRequest(
-            name=name, expected_version=expected_version, value=value
+            name=name,
+            expected_version=expected_version,
+            value=value,
+            expected_era=expected_era,
         )
         try:
             reply = self._stub.Put(req, timeout=self._timeout_s)
@@ -158,21 +170,23 @@
             raise _convert_error(exc, Code.PLT_ANSWER_LOST, name) from exc
         current = None
         if reply.current.version:
-            current = Versioned(reply.current.version, reply.current.value)
+            current = _decode(reply.current)
         return PutResult(reply.accepted, current)
 
-    def delete(self, name, expected_version):
+    def delete(self, name, expected_version, expected_era=0):
         """Delete an object, see :class:`Store`."""
-        req = wire.DeleteRequest(name=name, expected_version=expected_version)
+        req = wire.DeleteRequest(
+            name=name,
+            expected_version=expected_version,
+            expected_era=expected_era,
+        )
         return self._read(self._stub.Delete, req).accepted
 
     def list(self, prefix, names_only=False):
         """List objects, see :class:`Store`."""
         req = wire.ListRequest(prefix=prefix, names_only=names_only)
         reply = self._read(self._stub.List, req)
-        return [
-            Named(item.name, item.version, item.value) for item in reply.objects
-        ]
+        return [_decode_named(item) for item in reply.objects]
 
     def watch(self, prefix):
         """Watch objects, see :class:`Store`."""
@@ -223,7 +237,7 @@
         """Give objects; an end for whatever reason is no error."""
         try:
             for item in self._call:
-                yield Named(item.name, item.version, item.value)
+                yield _decode_named(item)
         except grpc.RpcError:
             return
 
@@ -232,6 +246,14 @@
         self._call.cancel()
 
 
+def _decode(item):
+    return Versioned(item.version, item.value, item.store_era)
+
+
+def _decode_named(item):
+    return Named(item.name, *_decode(item))
+
+
 def _convert_error(exc, code, place=''):
     if exc.code() in _FORBIDDEN:
         code = Code.OPS_FORBIDDEN
--- a/cornelgap/core/control.py
+++ b/cornelgap/core/control.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from cornelgap.core.stamps import Stamp
+
 
 @dataclass(frozen=True, slots=True)
 class Instance:
@@ -29,31 +31,32 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerRevision:
-    """A peer states a configuration revision.
+    """A peer states which configuration it has.
 
     :param api: ``host:port`` of the peer's gRPC server, empty if unknown.
+    :param stamp: its :class:`~cornelgap.core.stamps.Stamp`.
     """
 
     name: str
     api: str
-    revision: int
+    stamp: Stamp
 
 
 @dataclass(frozen=True, slots=True)
 class ControlView:
     """What the packet actor knows that the control actors act upon.
 
-    :param revision: configuration revision in force.
-    :param ahead: :class:`PeerRevision` of peers that state a higher one.
+    :param stamp: place of the configuration in force.
+    :param ahead: :class:`PeerRevision` of peers that state a later one.
     :param behind_signs: packets so far that hint at being behind: a token
-        of a higher revision, a key that is not known here.
+        of a later configuration, a key that is not known here.
     :param unknown_peers: whether something was to go to a peer of which no
         address is known.
     :param live: :class:`Instance` items that are alive, without this one;
         None if not looked at this time.
     """
 
-    revision: int
+    stamp: Stamp
     ahead: tuple = ()
     behind_signs: int = 0
     unknown_peers: bool = False
--- a/cornelgap/core/settings.py
+++ b/cornelgap/core/settings.py
@@ -8,6 +8,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from cornelgap.core.stamps import Stamp
+
 
 class TargetMode(enum.StrEnum):
     """What a target may be given."""
@@ -91,9 +93,16 @@
     :param services: service by name.
     :param keys: key ring by key id.
     :param draining_instances: names of entry instances that must leave.
+    :param era: era of the platform's store in which it was read.
     """
 
     revision: int = 0
     services: dict = field(default_factory=dict)
     keys: dict = field(default_factory=dict)
     draining_instances: frozenset = frozenset()
+    era: int = 0
+
+    @property
+    def stamp(self):
+        """Return its place among all configurations."""
+        return Stamp(self.era, self.revision)
--- /dev/null
+++ b/cornelgap/core/stamps.py
@@ -0,0 +1,20 @@
+"""Where in the history of the platform's store a fact stands.
+
+The store numbers its changes.  When it is restored from a backup, it
+reissues the revisions that were lost, and counts the restore as a new era.
+A revision alone then says nothing: a fact of the new era with a lower
+revision is the later one.
+"""
+
+from msgspec import Struct
+
+
+class Stamp(Struct, frozen=True, order=True):
+    """Place of a fact in the store's history; later ones compare greater.
+
+    :param era: how often the store was restored from a backup.
+    :param revision: number of the change within the era.
+    """
+
+    era: int = 0
+    revision: int = 0
--- a/cornelgap/core/token.py
+++ b/cornelgap/core/token.py
@@ -15,9 +15,10 @@
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import KeyStage
+from cornelgap.core.stamps import Stamp
 
 TAG_BYTES = 16
-_HEAD = struct.Struct('>BQQIQ16sBBB')
+_HEAD = struct.Struct('>BQQIII16sBBB')
 _KEY_ID_AT = 0
 _FLOW_AT = 29
 
@@ -33,6 +34,7 @@
     :param target: name of the target that the flow is on.
     :param revision: configuration revision at the time of minting.
     :param expiry: seconds on the home's own clock.
+    :param era: era of that configuration.
     """
 
     flow: bytes
@@ -43,6 +45,12 @@
     boot: int
     revision: int
     expiry: int
+    era: int = 0
+
+    @property
+    def stamp(self):
+        """Return the place of the configuration that it was minted by."""
+        return Stamp(self.era, self.revision)
 
 
 def make_nonce():
@@ -92,6 +100,7 @@
             token.epoch,
             token.boot,
             token.revision,
+            token.era,
             token.expiry,
             token.flow,
             len(service),
@@ -141,7 +150,7 @@
 
 def _decode_body(body):
     head = _HEAD.unpack_from(body)
-    _, epoch, boot, revision, expiry, flow, *lengths = head
+    _, epoch, boot, revision, era, expiry, flow, *lengths = head
     first = _HEAD.size
     second = first + lengths[0]
     third = second + lengths[1]
@@ -154,6 +163,7 @@
         boot=boot,
         revision=revision,
         expiry=expiry,
+        era=era,
     )
 
 
--- a/cornelgap/decisions/membership.py
+++ b/cornelgap/decisions/membership.py
@@ -20,6 +20,7 @@
 from dataclasses import dataclass, field
 
 from cornelgap.core.control import Instance, PeerRevision
+from cornelgap.core.stamps import Stamp
 
 PING_EVERY_S = 1.0
 """A peer that was heard from within this time is not asked."""
@@ -67,7 +68,7 @@
     listed: bool = False
     leaving: bool = False
     boot: int = 0
-    revision: int = 0
+    stamp: Stamp = Stamp()
     heard_at: float | None = None
     asked_at: float | None = None
     last_ask_at: float = float('-inf')
@@ -89,8 +90,8 @@
         self._peers = {}
         self._tokens = PING_RATE
         self._turn_at = None
-        self._revision = 0
-        self._top_revision = 0
+        self._stamp = Stamp()
+        self._top_stamp = Stamp()
         self._news_at = float('-inf')
 
     @classmethod
@@ -140,9 +141,10 @@
             peer.address = peer.address or instance.address
             peer.api = peer.api or instance.api
 
-    def note_heard(self, now, name, boot, revision, leaving, api, address=''):
+    def note_heard(self, now, name, boot, stamp, leaving, api, address=''):
         """Take in any authentic datagram of a peer.
 
+        :param stamp: place of the configuration that it has in force.
         :param address: ``host:port`` that it came from; a new instance is
             heard before the platform lists it.
         """
@@ -156,8 +158,8 @@
         if peer.boot and peer.boot != boot:
             peer.past_boots = [*peer.past_boots, peer.boot][-PAST_BOOTS:]
         peer.boot = boot
-        peer.revision = revision
-        self._top_revision = max(self._top_revision, revision)
+        peer.stamp = stamp
+        self._top_stamp = max(self._top_stamp, stamp)
         peer.leaving = leaving
         peer.api = api or peer.api
         peer.address = address or peer.address
@@ -165,13 +167,13 @@
         peer.asked_at = None
         peer.asks = 0
 
-    def note_adopted(self, now, revision):
-        """Note that this instance has a new revision in force.
+    def note_adopted(self, now, stamp):
+        """Note that this instance has a new configuration in force.
 
         Peers that state an older one are told by the next pings instead of
         a second later.
         """
-        self._revision = revision
+        self._stamp = stamp
         self._news_at = now
 
     def note_sent(self, now, name):
@@ -242,14 +244,14 @@
             for peer in peers
         ]
 
-    def list_ahead(self, revision):
-        """List peers that state a higher revision, as `PeerRevision`."""
-        if self._top_revision <= revision:
+    def list_ahead(self, stamp):
+        """List peers that state a later configuration, as `PeerRevision`."""
+        if self._top_stamp <= stamp:
             return []
         return [
-            PeerRevision(peer.name, peer.api, peer.revision)
+            PeerRevision(peer.name, peer.api, peer.stamp)
             for peer in self._peers.values()
-            if peer.revision > revision
+            if peer.stamp > stamp
         ]
 
     def has_unknown(self):
@@ -315,7 +317,7 @@
     def _is_due(self, now, peer):
         if self._owes(now, peer):
             return now - peer.last_ask_at >= SUSPECT_EVERY_S
-        if peer.revision < self._revision and peer.last_ask_at < self._news_at:
+        if peer.stamp < self._stamp and peer.last_ask_at < self._news_at:
             return True
         return now - self._find_contact(peer) >= PING_EVERY_S
 
--- a/cornelgap/entry/cfg_actor.py
+++ b/cornelgap/entry/cfg_actor.py
@@ -15,6 +15,7 @@
 from cornelgap.cfg.publishing import ROOT_NAME, read_current
 from cornelgap.core.control import Instance
 from cornelgap.core.errors import Code, CodedError
+from cornelgap.core.stamps import Stamp
 from cornelgap.entry.distribution import (
     CloseWatch,
     FetchPeer,
@@ -53,7 +54,7 @@
 class RootSeen:
     """Message: the watch delivered a root."""
 
-    revision: int
+    stamp: Stamp
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,13 +86,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadBundle:
-    """Message: give (revision, bundle); asked, not told.
+    """Message: give (stamp, bundle); asked, not told.
 
     :param known: digests of parts that the asker has.
+    :param known_stamp: place of the configuration that it has.
     """
 
     known: frozenset
-    known_revision: int
+    known_stamp: Stamp
 
 
 class CfgActor(Service):
@@ -164,7 +166,7 @@
         self._act()
 
     def _note_root(self, message):
-        self._distribution.note_watch_item(time.monotonic(), message.revision)
+        self._distribution.note_watch_item(time.monotonic(), message.stamp)
         self._act()
 
     def _note_watch_ended(self, message):
@@ -179,7 +181,7 @@
             self._distribution.note_read(now, None)
         else:
             payload = (message.cfg, message.bundle)
-            self._distribution.note_read(now, message.cfg.revision, payload)
+            self._distribution.note_read(now, message.cfg.stamp, payload)
         self._act()
 
     def _note_fetched(self, message):
@@ -187,9 +189,9 @@
         if message.reply is None:
             self._distribution.note_fetched(now, message.name, None)
         elif not message.reply.document:
-            self._distribution.note_fetched(now, message.name, 0)
+            self._distribution.note_fetched(now, message.name, Stamp())
         else:
-            self._decode_reply(now, message.name, message.reply.document)
+            self._decode_reply(now, message.name, message.reply)
         self._pass_hints(message.reply)
         self._act()
 
@@ -201,9 +203,9 @@
             ]
             tell_ref(self._packet, PeersHinted(hints))
 
-    def _decode_reply(self, now, name, trimmed):
-        bundle = document.complete_bundle(trimmed, self._bundle)
-        cfg, findings = document.decode_bundle(bundle)
+    def _decode_reply(self, now, name, reply):
+        bundle = document.complete_bundle(reply.document, self._bundle)
+        cfg, findings = document.decode_bundle(bundle, reply.era)
         if cfg is None:
             _LOG.warning(
                 'cfg: bundle of a peer is damaged',
@@ -212,13 +214,13 @@
             self._distribution.note_fetched(now, name, None)
         else:
             payload = (cfg, bundle)
-            self._distribution.note_fetched(now, name, cfg.revision, payload)
+            self._distribution.note_fetched(now, name, cfg.stamp, payload)
 
     def _read_bundle(self, message):
-        revision = self._distribution.revision
-        if not self._bundle or message.known_revision >= revision:
-            return revision, b''
-        return revision, document.trim_bundle(self._bundle, message.known)
+        stamp = self._distribution.stamp
+        if not self._bundle or message.known_stamp >= stamp:
+            return stamp, b''
+        return stamp, document.trim_bundle(self._bundle, message.known)
 
     def _act(self):
         now = time.monotonic()
@@ -231,7 +233,9 @@
     def _adopt(self, cfg, bundle):
         self._bundle = bundle
         tell_ref(self._packet, AdoptCfg(cfg, bundle))
-        _LOG.info('cfg: in force', extra={'revision': cfg.revision})
+        _LOG.info(
+            'cfg: in force', extra={'revision': cfg.revision, 'era': cfg.era}
+        )
         if self._leave and self.scope in cfg.draining_instances:
             self._leave()
 
@@ -252,9 +256,7 @@
         ref = self.actor_ref
         parts = list(document.list_parts(self._bundle))
         fut = self._loops.submit(
-            self._clients.fetch_cfg(
-                action.api, self._distribution.revision, parts
-            )
+            self._clients.fetch_cfg(action.api, self._distribution.stamp, parts)
         )
 
         def report(done):
@@ -309,7 +311,8 @@
         for item in self._feed:
             root, _ = document.read_root(item.value)
             if root is not None:
-                tell_ref(self._ref, RootSeen(root.revision))
+                stamp = Stamp(item.era, root.revision)
+                tell_ref(self._ref, RootSeen(stamp))
 
 
 def _read_platform(store, known, ref):
--- a/cornelgap/entry/distribution.py
+++ b/cornelgap/entry/distribution.py
@@ -6,7 +6,8 @@
 platform's watch at a few instances, the revision that peers' datagrams
 state, and a periodic read.
 
-Only rising revisions are adopted.  A watch can deliver late, a store can
+Only rising revisions are adopted, and those of a later era of the platform's
+store before all of an earlier one.  A watch can deliver late, a store can
 answer with an old value and a peer can be behind; taking an older revision
 would bring back targets that have left, and an operator would see an
 accepted change revert.
@@ -16,6 +17,7 @@
 from dataclasses import dataclass
 
 from cornelgap.core.control import Instance
+from cornelgap.core.stamps import Stamp
 from cornelgap.decisions.fanout import choose_source, is_watcher
 
 WATCHER_READ_S = 10.0
@@ -89,7 +91,7 @@
 
 @dataclass(slots=True)
 class _Offer:
-    revision: int
+    stamp: Stamp
     payload: object
     since: float
 
@@ -101,8 +103,8 @@
         """Start cold: nothing in force."""
         self.own = own
         self.zone = zone
-        self.revision = 0
-        self.wanted = 0
+        self.stamp = Stamp()
+        self.wanted = Stamp()
         self._rng = rng
         self._seeds = seeds
         self._live = ()
@@ -138,15 +140,15 @@
             self._live = view.live
         self._ahead = view.ahead
         for peer in view.ahead:
-            self.wanted = max(self.wanted, peer.revision)
+            self.wanted = max(self.wanted, peer.stamp)
         if view.behind_signs > self._signs:
             self._note_hint(now)
         self._signs = view.behind_signs
 
-    def note_watch_item(self, now, revision):
-        """A watch delivered a root of this revision."""
-        if revision > self.revision:
-            self.wanted = max(self.wanted, revision)
+    def note_watch_item(self, now, stamp):
+        """A watch delivered a root of this place."""
+        if stamp > self.stamp:
+            self.wanted = max(self.wanted, stamp)
             self._read_at = min(self._read_at, now)
 
     def note_watch_ended(self, now, lived_s):
@@ -159,36 +161,36 @@
         # What was written between two watches is seen by the next one,
         # which begins with what exists.
 
-    def note_read(self, now, revision, payload=None):
+    def note_read(self, now, stamp, payload=None):
         """A read of the platform has ended.
 
-        :param revision: what it gave; None if it failed, 0 if the platform
-            has no configuration yet.
+        :param stamp: place of what it gave; None if it failed, revision 0
+            if the platform has no configuration yet.
         """
         self._reading = False
-        if revision is None:
+        if stamp is None:
             self._read_fails += 1
             wait = _back_off(RETRY_FIRST_S, RETRY_MOST_S, self._read_fails)
             self._read_at = now + self._vary(wait)
             return
         self._read_fails = 0
-        self._take_offer(now, revision, payload)
-        self._read_at = now + self._vary(self._choose_read_wait(revision))
+        self._take_offer(now, stamp, payload)
+        self._read_at = now + self._vary(self._choose_read_wait(stamp))
 
-    def note_fetched(self, now, name, revision, payload=None):
+    def note_fetched(self, now, name, stamp, payload=None):
         """A fetch from a peer has ended.
 
-        :param revision: what it gave; None if it failed, 0 if the peer has
-            no configuration either.
+        :param stamp: place of what it gave; None if it failed, revision 0
+            if the peer has no configuration either.
         """
         self._fetching.discard(name)
-        if revision is None or revision <= self.revision:
+        if stamp is None or stamp <= self.stamp:
             self._failed_names.add(name)
             self._fetch_fails += 1
             wait = _back_off(FETCH_FIRST_S, FETCH_MOST_S, self._fetch_fails)
             self._fetch_at = now + self._vary(wait)
-        if revision is not None:
-            self._take_offer(now, revision, payload)
+        if stamp is not None:
+            self._take_offer(now, stamp, payload)
 
     def decide(self, now):
         """Decide what to ask for now; the actions count as under way.
@@ -198,7 +200,7 @@
         actions = []
         self._decide_watch(now, actions)
         self._decide_read(now, actions)
-        if self.revision:
+        if self.stamp.revision:
             self._decide_fetch(now, actions)
         else:
             self._decide_cold(now, actions)
@@ -214,11 +216,12 @@
         if offer is None:
             return None
         waiting = self._fetching or self._reading
-        if not self.revision and waiting and now - offer.since < COLD_WAIT_S:
+        is_cold = not self.stamp.revision
+        if is_cold and waiting and now - offer.since < COLD_WAIT_S:
             return None
         self._offer = None
-        self.revision = offer.revision
-        self.wanted = max(self.wanted, offer.revision)
+        self.stamp = offer.stamp
+        self.wanted = max(self.wanted, offer.stamp)
         self._fetch_fails = 0
         self._fetch_at = now
         self._failed_names.clear()
@@ -243,7 +246,7 @@
             return
         known = {peer.name: peer for peer in self._live}
         peers = []
-        if self.wanted > self.revision:
+        if self.wanted > self.stamp:
             peers = [known.get(peer.name, peer) for peer in self._ahead]
         if self._asks_anybody:
             self._asks_anybody = False
@@ -272,22 +275,22 @@
             self._fetching.add(peer.name)
             actions.append(FetchPeer(peer.name, peer.api))
 
-    def _take_offer(self, now, revision, payload):
-        if revision <= self.revision:
+    def _take_offer(self, now, stamp, payload):
+        if not stamp.revision or stamp <= self.stamp:
             return
-        self.wanted = max(self.wanted, revision)
+        self.wanted = max(self.wanted, stamp)
         if self._offer is None:
-            self._offer = _Offer(revision, payload, now)
-        elif revision > self._offer.revision:
-            self._offer.revision = revision
+            self._offer = _Offer(stamp, payload, now)
+        elif stamp > self._offer.stamp:
+            self._offer.stamp = stamp
             self._offer.payload = payload
 
-    def _choose_read_wait(self, revision):
-        if revision < self.wanted:
+    def _choose_read_wait(self, stamp):
+        if stamp < self.wanted:
             # A lagging replica of the store answered; somebody has seen
             # more than it shows.
             return STALE_READ_S
-        if not revision:
+        if not stamp.revision:
             return COLD_READ_S
         return WATCHER_READ_S if self._is_watcher() else OTHER_READ_S
 
--- a/cornelgap/entry/engine.py
+++ b/cornelgap/entry/engine.py
@@ -102,12 +102,12 @@
             _note_end(state, now, flow, call, event)
 
     def adopt_cfg(self, now, cfg):
-        """Put a configuration of a higher revision in force.
+        """Put a later configuration in force.
 
         :returns: effects.
         """
         if adopt_cfg(self.state, now, cfg):
-            self.state.membership.note_adopted(now, cfg.revision)
+            self.state.membership.note_adopted(now, cfg.stamp)
         return self.state.take_effects()
 
     def note_instances(self, now, entries, leaving_targets):
--- a/cornelgap/entry/handover.py
+++ b/cornelgap/entry/handover.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from cornelgap.core import messages as msg
+from cornelgap.core.stamps import Stamp
 from cornelgap.core.verdicts import Ran, Verdict
 from cornelgap.core.window import decode_seen, encode_seen
 from cornelgap.entry import answers
@@ -170,6 +171,7 @@
         token_left_ms=int(max(0, flow.expiry - now) * 1000),
         successor_boot=boot,
         revision=state.cfg.revision,
+        era=state.cfg.era,
         closed=flow.closed,
     )
     for kept in (flow.kept or {}).values():
@@ -266,7 +268,7 @@
     if record.service not in state.cfg.services:
         return False
     known = find_target(state, record.service, record.target) is not None
-    return known or record.revision <= state.cfg.revision
+    return known or Stamp(record.era, record.revision) <= state.cfg.stamp
 
 
 def _take_record(state, now, key, record):
--- a/cornelgap/entry/metric_list.py
+++ b/cornelgap/entry/metric_list.py
@@ -153,6 +153,11 @@
         GAUGE,
         'Configuration revision in force; 0 is none yet.',
     ),
+    Metric(
+        _PREFIX + 'cfg_era',
+        GAUGE,
+        'Restores of the store from a backup, as of which it was read.',
+    ),
     Metric(_PREFIX + 'flows', GAUGE, 'Flows whose home is here.'),
     Metric(_PREFIX + 'feeds', GAUGE, 'Live feeds here.'),
     Metric(_PREFIX + 'peers_live', GAUGE, 'Other entry instances alive.'),
@@ -181,6 +186,7 @@
     samples = [
         _make_sample('uptime_seconds', now - started),
         _make_sample('cfg_revision', state.cfg.revision),
+        _make_sample('cfg_era', state.cfg.era),
         _make_sample('flows', len(state.flows)),
         _make_sample('feeds', len(state.live_feeds)),
         _make_sample('peers_live', len(state.membership.list_live(now))),
--- a/cornelgap/entry/node.py
+++ b/cornelgap/entry/node.py
@@ -208,9 +208,9 @@
             )
         )
 
-    def _ask_cfg(self, known, known_revision):
+    def _ask_cfg(self, known, known_stamp):
         ref = get_service(self.settings.name, CFG)
-        return ref.ask(ReadBundle(known, known_revision), block=False)
+        return ref.ask(ReadBundle(known, known_stamp), block=False)
 
     def _ask_peers(self):
         settings = self.settings
--- a/cornelgap/entry/peer_clients.py
+++ b/cornelgap/entry/peer_clients.py
@@ -45,16 +45,18 @@
         self._credentials = credentials
         self._channels = {}
 
-    async def fetch_cfg(self, api, known_revision, known_parts):
+    async def fetch_cfg(self, api, known, known_parts):
         """Fetch the configuration that a peer has in force.
 
+        :param known: :class:`~cornelgap.core.stamps.Stamp` of the one here.
         :param known_parts: digests of parts that this instance has.
         :returns: the reply, or None if the peer gave none in time.
         """
         req = peer_pb2.CfgRequest(
-            known_revision=known_revision,
+            known_revision=known.revision,
             sender=self._own,
             known_parts=known_parts,
+            known_era=known.era,
         )
         return await self._call(api, 'FetchCfg', req)
 
--- a/cornelgap/entry/peer_server.py
+++ b/cornelgap/entry/peer_server.py
@@ -8,6 +8,7 @@
 
 from grpc import aio
 
+from cornelgap.core.stamps import Stamp
 from cornelgap.entry.asking import ask_actor
 from cornelgap.entry.peer_clients import MAX_MESSAGE_BYTES
 from cornelgap.wire import peer_pb2, peer_pb2_grpc
@@ -22,8 +23,9 @@
 class PeerService(peer_pb2_grpc.PeerServicer):
     """What peers may ask.
 
-    :param ask_cfg: takes a set of part digests and returns a pykka future
-        of (revision, trimmed bundle).
+    :param ask_cfg: takes a set of part digests and the asker's
+        :class:`~cornelgap.core.stamps.Stamp`, and returns a pykka future of
+        (stamp, trimmed bundle).
     :param take_handover: takes flow records and returns a pykka future of
         the number of flows that are owned here now.
     :param ask_peers: returns a pykka future of the live peers, as
@@ -40,8 +42,9 @@
     async def FetchCfg(self, request, context):
         """Give the configuration in force, without known parts."""
         known = frozenset(request.known_parts)
-        revision, bundle = await ask_actor(
-            context, self._ask_cfg, known, request.known_revision
+        known_stamp = Stamp(request.known_era, request.known_revision)
+        stamp, bundle = await ask_actor(
+            context, self._ask_cfg, known, known_stamp
         )
         peers = ()
         if self._ask_peers is not None and not request.known_revision:
@@ -50,7 +53,8 @@
             # its address, and each flow that it opens is re-homed at once.
             peers = await ask_actor(context, self._ask_peers)
         return peer_pb2.CfgReply(
-            revision=revision,
+            revision=stamp.revision,
+            era=stamp.era,
             document=bundle,
             peers=[_encode_hint(peer) for peer in peers],
         )
--- a/cornelgap/entry/peering.py
+++ b/cornelgap/entry/peering.py
@@ -7,6 +7,7 @@
 
 from cornelgap.core.calls import SendPeer
 from cornelgap.core.errors import CodedError
+from cornelgap.core.stamps import Stamp
 from cornelgap.entry.state import count_event
 from cornelgap.wire import peer_pb2 as pb
 from cornelgap.wire.peer_codec import seal_datagram, unseal_datagram
@@ -26,6 +27,7 @@
         sender=state.name,
         boot=state.boot,
         revision=state.cfg.revision,
+        era=state.cfg.era,
         leaving=state.leaving,
         api=state.api,
         **fields,
@@ -69,7 +71,7 @@
         now,
         peer.sender,
         peer.boot,
-        peer.revision,
+        Stamp(peer.era, peer.revision),
         peer.leaving,
         peer.api,
         source,
--- a/cornelgap/entry/replies.py
+++ b/cornelgap/entry/replies.py
@@ -49,6 +49,7 @@
             boot=state.boot,
             revision=state.cfg.revision,
             expiry=expiry,
+            era=state.cfg.era,
         ),
     )
 
--- a/cornelgap/entry/routing.py
+++ b/cornelgap/entry/routing.py
@@ -153,6 +153,7 @@
             boot=state.boot,
             revision=state.cfg.revision,
             expiry=int(now) + life,
+            era=state.cfg.era,
         ),
     )
 
@@ -220,7 +221,7 @@
         refuse_datagram(state, address, message, size, Code.PKT_TOKEN_EXPIRED)
         return None
     if token.service not in state.cfg.services:
-        behind = token.revision > state.cfg.revision
+        behind = token.stamp > state.cfg.stamp
         code = Code.REQ_BEHIND if behind else Code.REQ_NO_SERVICE
         refuse_datagram(state, address, message, size, code, BEHIND_RETRY_MS)
         return None
@@ -302,7 +303,7 @@
     nothing, perhaps to one that has left; so the datagram is refused until
     the newer configuration is here, within a fraction of a second.
     """
-    if token.revision <= state.cfg.revision:
+    if token.stamp <= state.cfg.stamp:
         return False
     return find_target(state, token.service, token.target) is None
 
--- a/cornelgap/entry/state.py
+++ b/cornelgap/entry/state.py
@@ -210,15 +210,16 @@
 
 
 def adopt_cfg(state, now, cfg):
-    """Put a configuration in force; an older or equal revision is ignored.
+    """Put a configuration in force; an older or equal one is ignored.
 
     A watch can deliver late and a lagging store can answer with an old
     value.  Adopting it would bring back targets that have left, which an
-    operator would see as a revision that falls.  Only rising ones pass.
+    operator would see as a revision that falls.  Only rising ones pass,
+    and those of a later era of the platform's store.
 
     :returns: whether it was adopted.
     """
-    if cfg.revision <= state.cfg.revision:
+    if cfg.stamp <= state.cfg.stamp:
         return False
     state.cfg = cfg
     for name, service in cfg.services.items():
--- a/cornelgap/entry/views.py
+++ b/cornelgap/entry/views.py
@@ -23,11 +23,11 @@
     :returns: :class:`cornelgap.core.control.ControlView`.
     """
     members = state.membership
-    revision = state.cfg.revision
+    stamp = state.cfg.stamp
     live = tuple(members.list_live_instances(now)) if with_live else None
     return ControlView(
-        revision=revision,
-        ahead=tuple(members.list_ahead(revision)),
+        stamp=stamp,
+        ahead=tuple(members.list_ahead(stamp)),
         behind_signs=sum(state.counters[name] for name in _BEHIND_COUNTERS),
         unknown_peers=members.has_unknown(),
         live=live,
@@ -45,6 +45,7 @@
         zone=state.zone,
         boot=state.boot,
         revision=state.cfg.revision,
+        era=state.cfg.era,
         leaving=state.leaving,
         uptime_s=int(now - started),
         peers=state.membership.list_live(now),
--- a/cornelgap/operators/changing.py
+++ b/cornelgap/operators/changing.py
@@ -36,15 +36,15 @@
     ] = ''
 
 
-def change_in_force(connection, options, make_plan, base_revision=None):
+def change_in_force(connection, options, make_plan, choose_base=None):
     """Plan a change, publish it and wait until it is in force.
 
     :param connection: :class:`cornelgap.operators.connection.Connection`.
     :param options: :class:`ChangeOptions`.
     :param make_plan: gives the :class:`cornelgap.cfg.applying.ApplyPlan`
         for a store.
-    :param base_revision: gives the revision that the change was made from
-        for the one in force; by default the one in force.
+    :param choose_base: gives the stamp that the change was made from for
+        the one in force; by default the one in force.
     :return: the publication's result, None if there was none, and the exit
         code.
     """
@@ -54,18 +54,18 @@
     reach = Reach.from_connection(connection)
     with reach.open_store() as store:
         plan = make_plan(store)
-        base = plan.base.revision
-        if base_revision is not None:
-            base = base_revision(base)
+        base = plan.base.stamp
+        if choose_base is not None:
+            base = choose_base(base)
         write_id = options.write_id or uuid.uuid4().hex
-        if base != plan.base.revision:
+        if base != plan.base.stamp:
             # The plan was made on another revision than the one stated, so
             # it must not be written even if that one comes in force now.
             result = publishing.settle_earlier(store, base, write_id)
         elif not _show_plan(plan):
             return None, Exit.UNSAFE
         elif options.dry_run:
-            print(f'dry run: nothing written, base is revision {base}')
+            print(f'dry run: nothing written, base is revision {base.revision}')
             return None, Exit.DONE
         else:
             result = publishing.publish(
@@ -76,26 +76,25 @@
             return result, choose_exit(result.code)
         if options.wait_s <= 0:
             return result, Exit.DONE
-        return result, show_in_force(
-            reach, store, result.revision, options.wait_s
-        )
+        return result, show_in_force(reach, store, result.stamp, options.wait_s)
 
 
-def show_in_force(reach, store, revision, wait_s):
-    """Wait until a revision is in force and print each instance.
+def show_in_force(reach, store, stamp, wait_s):
+    """Wait until a configuration is in force and print each instance.
 
+    :param stamp: its :class:`~cornelgap.core.stamps.Stamp`.
     :return: the exit code.
     """
     fleet = Fleet(reach.open_channel)
     try:
         outcomes = wait_in_force(
-            lambda: store.list_instances('entry'), fleet, revision, wait_s
+            lambda: store.list_instances('entry'), fleet, stamp, wait_s
         )
     finally:
         fleet.close()
-    printing.print_in_force(outcomes, revision)
+    printing.print_in_force(outcomes, stamp.revision)
     try:
-        require_in_force(outcomes, revision)
+        require_in_force(outcomes, stamp.revision)
     except CodedError as exc:
         printing.print_error(exc)
         return choose_exit(exc.code)
@@ -118,7 +117,7 @@
     if result.code == Code.PLT_ANSWER_LOST:
         print(f'repeat with --write-id {result.write_id}')
     if result.meanwhile:
-        print(f'changed since revision {base}:')
+        print(f'changed since revision {base.revision}:')
     for record in reversed(result.meanwhile):
         changes, _ = audit.load_changes(store, record)
         printing.print_entry(record, changes)
--- a/cornelgap/operators/fleet.py
+++ b/cornelgap/operators/fleet.py
@@ -7,6 +7,7 @@
 
 from cornelgap.cfg.findings import CfgFinding
 from cornelgap.core.errors import Code, CodedError
+from cornelgap.core.stamps import Stamp
 from cornelgap.wire import admin_pb2
 from cornelgap.wire.admin_pb2_grpc import AdminStub
 
@@ -123,16 +124,16 @@
 
 
 def wait_in_force(
-    list_instances, fleet, revision, wait_s, clock=time.monotonic, pause=None
+    list_instances, fleet, stamp, wait_s, clock=time.monotonic, pause=None
 ):
-    """Wait until every entry instance has a revision.
+    """Wait until every entry instance has a configuration.
 
     The list is read anew in each round: instances join and leave while the
     change spreads.  Leaving ones are not waited for.
 
     :param list_instances: gives the wire ``Instance`` messages.
     :param fleet: the :class:`Fleet`.
-    :param revision: what is waited for; a higher one is as good.
+    :param stamp: place of what is waited for; a later one is as good.
     :param wait_s: how long at most, in seconds.
     :param clock: gives seconds.
     :param pause: waits for a number of seconds.
@@ -152,10 +153,10 @@
         statuses = fleet.ask_status(pending)
         passed = clock() - start
         for status in statuses:
-            if status.reply and status.reply.revision >= revision:
+            if status.reply and _read_stamp(status.reply) >= stamp:
                 done[status.name] = InForce(status.name, passed)
         lacking = [
-            _explain_lack(status)
+            _explain_lack(status, stamp)
             for status in statuses
             if status.name not in done
         ]
@@ -180,10 +181,16 @@
         return known
 
 
-def _explain_lack(status):
+def _read_stamp(reply):
+    return Stamp(reply.era, reply.revision)
+
+
+def _explain_lack(status, stamp):
     reason = status.reason
     if status.reply is not None:
         reason = f'has revision {status.reply.revision}'
+        if status.reply.era != stamp.era:
+            reason += f' of era {status.reply.era}'
     return InForce(status.name, None, reason)
 
 
--- a/cornelgap/operators/folder_commands.py
+++ b/cornelgap/operators/folder_commands.py
@@ -64,13 +64,15 @@
         return Exit.REFUSED
     with Reach.from_connection(connection).open_store() as store:
         plan = applying.plan_folder(store, cfg)
-    base = plan.base.revision
-    print(f'{len(plan.changes)} changes on revision {base}')
+    print(f'{len(plan.changes)} changes on revision {plan.base.revision}')
     printing.print_changes(plan.changes, limit=len(plan.changes))
     printing.print_findings(plan.findings)
     noted = applying.read_noted_base(folder)
-    if noted not in {None, base}:
-        print(f'this folder was last applied as revision {noted}')
+    if noted not in {None, plan.base.stamp}:
+        print(
+            f'this folder was last applied as revision {noted.revision}'
+            f' of era {noted.era}; era {plan.base.era} is in force'
+        )
     return Exit.DONE
 
 
@@ -102,7 +104,7 @@
 
     result, code = change_in_force(connection, options, make_plan, choose_base)
     if result is not None and result.accepted:
-        applying.note_base(folder, result.revision)
+        applying.note_base(folder, result.stamp)
     return code
 
 
--- a/cornelgap/operators/key_commands.py
+++ b/cornelgap/operators/key_commands.py
@@ -66,7 +66,7 @@
     with reach.open_store() as store:
         base = applying.load_base(store)
         staging.sign_with(base, key_id)
-        code = show_in_force(reach, store, base.revision, options.wait_s)
+        code = show_in_force(reach, store, base.stamp, options.wait_s)
     if code != Exit.DONE:
         return code
 
--- a/cornelgap/operators/printing.py
+++ b/cornelgap/operators/printing.py
@@ -80,8 +80,8 @@
         print(json.dumps({'instances': found}, indent=2))
         return
     print_table(
-        ('instance', 'zone', 'revision', 'state', 'up s', 'flows', 'running')
-        + ('waiting', 'refused'),
+        ('instance', 'zone', 'revision', 'era', 'state', 'up s', 'flows')
+        + ('running', 'waiting', 'refused'),
         [_list_cells(status) for status in statuses],
     )
     rows = [
@@ -102,12 +102,13 @@
 def _list_cells(status):
     reply = status.reply
     if reply is None:
-        return [status.name, status.zone, '-', status.reason, *'-----']
+        return [status.name, status.zone, '-', '-', status.reason, *'-----']
     names = ('flows', 'in_flight', 'waiting', 'refused')
     return [
         status.name,
         status.zone,
         reply.revision,
+        reply.era,
         'leaving' if reply.leaving else 'serving',
         reply.uptime_s,
         *(
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -226,3 +226,29 @@
     Given the cfg operator folder holds a key of its own
     When operator "amal" runs every cfg command
     Then no secret was printed
+
+  Scenario: A folder applied before a restore does not undo a reissued revision
+    Guards against a noted base that is taken for another change of its number.
+
+    Given the cfg stand-in platform is backed up
+    And operator "omar" has run "drain target s2 -m disk"
+    And operator "omar" has run "undrain target s2 -m disk"
+    And operator "amal" has run "apply DIR -m same --base 4"
+    And the cfg stand-in platform is restored from that backup
+    And operator "huda" has run "drain target s1 -m disk"
+    And operator "huda" has run "drain target a1 -m disk"
+    When the cfg operator folder gets "20-local.ini" with "[service search]~token_s = 300"
+    And operator "amal" runs "apply DIR -m shorter"
+    Then the command exits with 3 and prints "OPS-001"
+    And it prints "restored from a backup"
+    And the cfg platform has revision 4
+
+  Scenario: An entry with the lost revision does not count as up to date
+    Guards against a key that signs before every entry has it.
+
+    Given the cfg stand-in platform is backed up
+    And operator "omar" has run "drain target s2 -m disk"
+    And cfg entry "e2" stays at revision 3
+    And the cfg stand-in platform is restored from that backup
+    When operator "huda" runs "drain target s1 -m disk --wait-s 0.3"
+    Then the command exits with 4 and prints "e2: not in force, has revision 3 of era 1"
--- a/features/cfg_platform.feature
+++ b/features/cfg_platform.feature
@@ -5,6 +5,13 @@
     Then a cfg object is written once at version 0 and once at version 1
     And the cfg objects below a prefix are listed in the order of their names
 
+  Scenario: A restored platform takes no write that was meant for what it lost
+    Guards against a version that is given out again and mistaken for itself.
+
+    Given a cfg stand-in platform over gRPC
+    When the cfg platform has an object and is restored from a backup
+    Then the cfg object is written, listed and deleted in the new era only
+
   Scenario: A slow platform ends a read in time and leaves a write in doubt
     The platform answers after the caller has given up. An actor that waited
     on would do none of its own work; a write that was called failed would be
--- a/features/cfg_publishing.feature
+++ b/features/cfg_publishing.feature
@@ -177,3 +177,29 @@
     When the platform loses that "ana" sets the queue limit of "s0" to 50
     And "omar" sets the queue limit of "s1" to 60 and the entry reads the cfg
     Then the entry has the cfg in force that the platform has
+
+  Scenario: A change planned before a restore does not undo a reissued one
+    Guards against a base that is taken for another change of its number.
+
+    Given "huda" has published token life 300 for service "s2"
+    And the cfg store loses that, and "ana" publishes token life 200 instead
+    When "omar" publishes queue limit 7 for service "s1" from cfg revision 2
+    Then the cfg publication is refused with "OPS-001"
+    And the cfg in force has revision 2
+
+  Scenario: A root write that a restore overtakes does not undo a reissued one
+    Guards against a version that the restored store has given out again.
+
+    Given "huda" has published token life 300 for service "s2"
+    And right before the next root write the cfg store loses that, and "ana" publishes token life 200 instead
+    When "omar" publishes queue limit 7 for service "s1" because "trial"
+    Then the cfg publication is refused with "OPS-001"
+    And the cfg in force has queue limit 64 for service "s1"
+    And the cfg in force has revision 2
+
+  Scenario: A pruner that a restore overtakes harms nothing
+    Guards against parts that only the lost configurations did without.
+
+    Given "huda" has published token life 300 for service "s2"
+    When a cfg pruner has read the root after 130 changes and the store loses them
+    Then the cfg store has a whole cfg of revision 1
--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -132,3 +132,61 @@
     When zone "z1" of the distribution fleet is joined again
     Then the whole distribution fleet has revision 8 within 5 s
     And no entry of the distribution fleet went back
+
+  Scenario: A peer of an older era does not bring a lost configuration back
+    Guards against peers that undo a restore by what the platform has lost.
+
+    Given a distribution with revision 7 in force
+    When the distribution's read gives revision 5 of era 2
+    Then the distribution adopts revision 5
+    When the distribution hears that "e1" has revision 9
+    And the distribution's peer "e1" gives revision 9
+    Then the distribution stays at revision 5 of era 2
+
+  Scenario: An entry that starts during a restore takes what the platform has
+    Guards against an entry that starts by the highest number that it hears.
+
+    Given a cold distribution with peers "e1,e2"
+    When the distribution's peer "e1" gives revision 9
+    And the distribution's read gives revision 7 of era 2
+    And the distribution's peer "e2" gives nothing
+    Then the distribution stays at revision 7 of era 2
+
+  Scenario: An entry that started by a lost configuration takes the platform's
+    Guards against an entry that a peer of the older era holds back for good.
+
+    Given a cold distribution with peers "e1"
+    When the distribution's read fails
+    And the distribution's peer "e1" gives revision 9
+    Then the distribution adopts revision 9
+    When the distribution's read gives revision 7 of era 2
+    Then the distribution stays at revision 7 of era 2
+
+  Scenario: A platform that has lost every configuration takes none away
+    Guards against entries that serve nobody until somebody publishes again.
+
+    Given a distribution with revision 7 in force
+    When the distribution's read gives revision 0 of era 2
+    Then the distribution adopts nothing more and stays at 7
+
+  Scenario: An engine takes a later era's configuration and none of before
+    Guards against flows that are served by what the platform has lost.
+
+    Given an engine with revision 5 of era 1 in force
+    When the engine is given revision 3 of era 2
+    And the engine is given revision 9 of era 1
+    Then the engine has revision 3 of era 2 in force
+
+  Scenario: A zone that was cut off during a restore does not undo it
+    Guards against a zone that spreads the lost configuration when it is back.
+
+    Given a distribution fleet of 24 entries in 4 zones
+    When revision 8 is published to the distribution fleet
+    Then the whole distribution fleet has revision 8 within 3 s
+    When zone "z1" of the distribution fleet is cut off
+    And the distribution fleet's platform loses and reissues revision 8
+    Then the distribution fleet outside "z1" has era 2 within 3 s
+    And zone "z1" of the distribution fleet still has revision 8
+    When zone "z1" of the distribution fleet is joined again
+    Then the whole distribution fleet has era 2 within 5 s
+    And no entry of the distribution fleet went back
--- a/features/distribution_actors.feature
+++ b/features/distribution_actors.feature
@@ -50,3 +50,22 @@
     Given a peer server whose packet actor hangs
     When a patient peer hands 3 flow records over to the peer server
     Then the peer server says to the patient peer that it is busy
+
+  Scenario: A reissued revision comes from the platform, and from a peer
+    Guards against an entry that ignores it since it knows the number.
+
+    Given a platform for the configuration actors
+    And a configuration actor "e1"
+    And a configuration actor "e2" that is not told by the platform
+    When revision 1 is published for the configuration actors
+    Then the packet actor of "e1" adopts revision 1
+    When the packet actor of "e2" hears that "e1" has revision 1
+    Then the packet actor of "e2" adopts revision 1
+    When the platform of the configuration actors loses and reissues it
+    Then a watch shows revision 1 of era 2
+    And the packet actor of "e1" adopts revision 1 of era 2
+    When the packet actor of "e2" hears that "e1" has revision 1 of era 2
+    Then the packet actor of "e2" adopts revision 1 of era 2
+    When the packet actor of "e2" hears that "e1" has revision 9
+    Then the packet actor of "e2" goes on with revision 1 of era 2
+    And the configuration actor "e1" gives nothing to a peer that has revision 1 of era 2
--- a/features/entry_admin.feature
+++ b/features/entry_admin.feature
@@ -9,6 +9,16 @@
     And the administered entry's page "/ready" answers 200
     And the administered entry's page "/metrics" shows "cornelgap_cfg_revision 1"
 
+  Scenario: Status and metrics name the era of what is in force
+    Guards against operators who take a lost revision for the reissued one.
+
+    Given an administered entry "e1" without TLS
+    And revision 1 is published for the administered entry
+    When the administered entry's status is asked for until it has revision 1
+    And the administered entry's platform loses and reissues revision 1
+    Then the administered entry's status comes to name revision 1 of era 2
+    And the administered entry's page "/metrics" shows "cornelgap_cfg_era 2"
+
   Scenario: An instance without a configuration is not ready
     Given an administered entry "e1" without TLS
     Then the administered entry's page "/ready" answers 503
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -126,3 +126,10 @@
     Given a membership of 6 entries, all heard at 0 s
     When a peer names "e2" at another address to the membership
     Then the membership keeps the address of "e2"
+
+  Scenario: A peer's datagrams tell of a later era by a lower revision
+    Guards against entries that ask nobody for the restored configuration.
+
+    Given an entry with revision 5 of era 1 and its peer with 3 of era 2
+    When the membership's two entries have talked
+    Then only the one of era 1 knows of a peer that is ahead
--- a/features/proofs/naive_fanout.py
+++ b/features/proofs/naive_fanout.py
@@ -6,6 +6,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cornelgap.core.control import ControlView, Instance, PeerRevision
+from cornelgap.core.stamps import Stamp
 from cornelgap.entry import distribution as parts
 
 NAMES = ('e1', 'e2', 'e3', 'e4')
@@ -21,7 +22,7 @@
         """Begin with revision 1 at the platform and nobody knowing it."""
         super().__init__()
         self.now = 0.0
-        self.published = [1]
+        self.published = [Stamp(1, 1)]
         self.down = False
         self.stale = False
         self.deaf = False
@@ -32,7 +33,7 @@
             )
             for name in NAMES
         }
-        self.before = dict.fromkeys(NAMES, 0)
+        self.before = dict.fromkeys(NAMES, Stamp())
         self.watching = set()
 
     def is_reachable(self, name):
@@ -50,13 +51,11 @@
             ]
             live = tuple(Instance(one, 'z1', f'{one}:1', one) for one in others)
             ahead = tuple(
-                PeerRevision(one, one, self.dists[one].revision)
+                PeerRevision(one, one, self.dists[one].stamp)
                 for one in others
-                if self.dists[one].revision > dist.revision
-            )
-            dist.note_view(
-                self.now, ControlView(dist.revision, ahead, live=live)
+                if self.dists[one].stamp > dist.stamp
             )
+            dist.note_view(self.now, ControlView(dist.stamp, ahead, live=live))
             for action in dist.decide(self.now):
                 self.carry_out(name, dist, action)
             dist.take_ripe(self.now)
@@ -70,7 +69,7 @@
             dist.note_read(self.now, found, found)
         elif isinstance(action, parts.FetchPeer):
             cut = (action.name in self.alone) != (name in self.alone)
-            found = None if cut else self.dists[action.name].revision
+            found = None if cut else self.dists[action.name].stamp
             dist.note_fetched(self.now, action.name, found, found)
         elif isinstance(action, parts.OpenWatch):
             if self.is_reachable(name):
@@ -83,11 +82,19 @@
     @rule()
     def publish(self):
         """Publish; watches that live tell of it."""
-        self.published.append(self.published[-1] + 1)
+        last = self.published[-1]
+        self.published.append(Stamp(last.era, last.revision + 1))
         for name in sorted(self.watching):
             if self.is_reachable(name) and not self.deaf:
                 self.dists[name].note_watch_item(self.now, self.published[-1])
 
+    @rule(lost=st.integers(0, 3))
+    def restore(self, lost):
+        """Restore the platform from a backup, which no watch tells."""
+        last = self.published[-1]
+        revision = max(1, last.revision - lost)
+        self.published.append(Stamp(last.era + 1, revision))
+
     @rule(down=st.booleans(), stale=st.booleans(), deaf=st.booleans())
     def spoil_platform(self, down, stale, deaf):
         """Have the platform down, lagging, its watches dead, or well."""
@@ -108,8 +115,9 @@
     def never_fall(self):
         """Nobody falls back, nobody has what was never published."""
         for name, dist in self.dists.items():
-            assert self.before[name] <= dist.revision <= self.published[-1]
-            self.before[name] = dist.revision
+            assert self.before[name] <= dist.stamp
+            assert dist.stamp in {Stamp(), *self.published}
+            self.before[name] = dist.stamp
 
     def teardown(self):
         """With all mended, everyone has what everyone would read."""
@@ -117,5 +125,5 @@
         self.alone = frozenset()
         for _ in range(int(SETTLE_S / TURN_S)):
             self.take_turn()
-        found = {name: dist.revision for name, dist in self.dists.items()}
+        found = {name: dist.stamp for name, dist in self.dists.items()}
         assert set(found.values()) == {self.published[-1]}, found
--- a/features/proofs/part_stories.py
+++ b/features/proofs/part_stories.py
@@ -14,6 +14,7 @@
 from cornelgap.core import messages as msg
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import ServiceCfg, TargetCfg
+from cornelgap.core.stamps import Stamp
 from cornelgap.core.verdicts import Ran
 from cornelgap.decisions.ends import CallEnd
 from cornelgap.decisions.placement import Placement
@@ -114,9 +115,9 @@
     )
     part.decide(0)
     part.note_read(0, None)
-    part.note_fetched(0.01, 'e1', 5, 'old')
+    part.note_fetched(0.01, 'e1', Stamp(1, 5), 'old')
     first = part.take_ripe(0.02)
-    part.note_fetched(0.05, 'e2', 8, 'new')
+    part.note_fetched(0.05, 'e2', Stamp(1, 8), 'new')
     second = part.take_ripe(0.06)
     lines = []
     if first is not None:
@@ -142,9 +143,9 @@
 
     lossy = False
 
-    def put(self, name, expected_version, value):
+    def put(self, name, *args):
         """Write; lose one answer if asked to."""
-        result = super().put(name, expected_version, value)
+        result = super().put(name, *args)
         if name == publishing.ROOT_NAME and self.lossy:
             self.lossy = False
             raise CodedError(Code.PLT_ANSWER_LOST, 'lost', name)
@@ -158,7 +159,7 @@
         'ops',
         'why',
         write_id,
-        base_revision=base,
+        base=base,
         now_ms=1,
         pause=lambda wait: None,
     )
@@ -169,8 +170,10 @@
     store = _LossyStore()
     _publish(store, make_cfg(), 'one')
     store.lossy = True
-    won = _publish(store, make_cfg(targets=('b1',)), 'two', base=1)
-    raced = _publish(store, make_cfg(targets=('b2',)), 'three', base=1)
+    won = _publish(store, make_cfg(targets=('b1',)), 'two', base=Stamp(1, 1))
+    raced = _publish(
+        store, make_cfg(targets=('b2',)), 'three', base=Stamp(1, 1)
+    )
     _, root = publishing.read_root(store)
     lines = []
     if not won.accepted or root.revision != 2:
--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -52,3 +52,30 @@
     Given an entry instance whose names are as long as they may be
     When a caller opens a flow with the smallest open
     Then the answer is no larger than what was sent
+
+  Scenario Outline: A token of a later era finds the entry behind, whatever its number
+    Guards against callers who are told by an older era where to go.
+
+    Given an entry instance with an open flow
+    When a caller sends it <what>
+    Then the only answer is a refusal with "REQ-014"
+    And no request has run
+
+    Examples:
+      | what                                                    |
+      | a request for a service of a later era                  |
+      | a request of a lost home for a target of a later era    |
+
+  Scenario: A flow of a later era is not taken before its configuration
+    Guards against a successor that knows the number but not the target.
+
+    Given an entry instance with an open flow
+    When a peer hands a flow over to it, on a target of a later era
+    Then it takes no flow
+
+  Scenario: Tokens and handed over flows name the era that they were made by
+    Guards against peers that take them for those of an earlier era.
+
+    Given two entry instances of era 3 with an open flow
+    When the flow's home leaves
+    Then its first token, its next one and its handover name era 3
--- a/features/steps/cfg_operators_steps.py
+++ b/features/steps/cfg_operators_steps.py
@@ -15,6 +15,7 @@
 from cornelgap.cfg import applying, document, staging
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import Cfg, KeyCfg, KeyStage, ServiceCfg
+from cornelgap.core.stamps import Stamp
 from cornelgap.operators.changing import ChangeOptions, change_in_force
 from cornelgap.operators.connection import Connection
 from cornelgap.operators.fleet import InstanceStatus, wait_in_force
@@ -70,10 +71,12 @@
 
     def Status(self, req, context):
         _, value = self.state._objects['cfg/root']
-        revision = document.read_root(value)[0].revision
+        root, _ = document.read_root(value)
+        stamp = self.stuck or Stamp(self.state.era, root.revision)
         return admin_pb2.StatusReply(
             name=self.name,
-            revision=revision if self.stuck is None else self.stuck,
+            revision=stamp.revision,
+            era=stamp.era,
             targets=self.targets,
         )
 
@@ -207,10 +210,20 @@
         Connection(context.env['CORNELGAP_PLATFORM'], tls='off'),
         ChangeOptions(message='early'),
         make_plan,
-        lambda in_force: 3,
+        lambda in_force: Stamp(1, 3),
     )
 
 
+@given('the cfg stand-in platform is backed up')
+def back_up(context):
+    context.backup = context.state.back_up()
+
+
+@given('the cfg stand-in platform is restored from that backup')
+def restore(context):
+    context.state.restore(context.backup)
+
+
 @given('cfg entry "{name}" obeys other operators')
 def obey_others(context, name):
     context.entries[name].strict = True
@@ -218,7 +231,7 @@
 
 @given('cfg entry "{name}" stays at revision {revision:d}')
 def stick_entry(context, name, revision):
-    context.entries[name].stuck = revision
+    context.entries[name].stuck = Stamp(context.state.era, revision)
 
 
 @given('cfg entry "{name}" follows the platform again')
@@ -291,7 +304,7 @@
     outcomes = wait_in_force(
         list_instances,
         SlowFleet(),
-        7,
+        Stamp(revision=7),
         wait_s=9,
         clock=iter(range(99)).__next__,
         pause=lambda seconds: None,
--- a/features/steps/cfg_platform_steps.py
+++ b/features/steps/cfg_platform_steps.py
@@ -35,10 +35,10 @@
     store = context.store
     assert store.get('a') is None
     assert store.put('a', 1, b'x') == (False, None)
-    assert store.put('a', 0, b'one') == (True, (1, b'one'))
-    assert store.put('a', 0, b'two') == (False, (1, b'one'))
+    assert store.put('a', 0, b'one') == (True, (1, b'one', 1))
+    assert store.put('a', 0, b'two') == (False, (1, b'one', 1))
     assert store.put('a', 1, b'two').accepted
-    assert store.get('a') == (2, b'two')
+    assert store.get('a') == (2, b'two', 1)
 
 
 @then('the cfg objects below a prefix are listed in the order of their names')
@@ -49,6 +49,24 @@
     assert names == ['p/a', 'p/b']
 
 
+@when('the cfg platform has an object and is restored from a backup')
+def restore_object(context):
+    assert context.store.put('a', 0, b'one', 1).accepted
+    context.state.restore(context.state.back_up())
+
+
+@then('the cfg object is written, listed and deleted in the new era only')
+def check_new_era(context):
+    store = context.store
+    assert store.get('a') == (1, b'one', 2)
+    assert store.list('a') == [('a', 1, b'one', 2)]
+    assert next(iter(store.watch('a'))) == ('a', 1, b'one', 2)
+    assert store.put('a', 1, b'two', 1) == (False, (1, b'one', 2))
+    assert not store.delete('a', 1, 1)
+    assert store.put('a', 1, b'two', 2) == (True, (2, b'two', 2))
+    assert store.delete('a', 2, 2)
+
+
 @given('the cfg platform answers after {slow:d} ms')
 def slow_down(context, slow):
     context.state.set_faults(platform_pb2.Faults(slow_ms=slow))
--- a/features/steps/cfg_publishing_steps.py
+++ b/features/steps/cfg_publishing_steps.py
@@ -11,6 +11,7 @@
 from cornelgap.cfg.store import PlatformStore
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.settings import Cfg, KeyCfg, ServiceCfg, TargetCfg
+from cornelgap.core.stamps import Stamp
 from cornelgap.entry.distribution import Distribution
 from cornelgap.wire import platform_pb2
 from standins.memory import MemoryStore
@@ -27,13 +28,13 @@
         self.hooks = []
         self.late = []
 
-    def put(self, name, expected_version, value):
+    def put(self, name, *args):
         if name == ROOT and self.hooks:
-            return self.hooks.pop(0)(name, expected_version, value)
-        for args in self.late:
-            super().put(*args)
+            return self.hooks.pop(0)(name, *args)
+        for late in self.late:
+            super().put(*late)
         self.late.clear()
-        return super().put(name, expected_version, value)
+        return super().put(name, *args)
 
     def lose_answer(self, *args):
         super().put(*args)
@@ -185,6 +186,29 @@
     assert publish_change(context, who, name, token_s=life).accepted
 
 
+@given(
+    'the cfg store loses that, and "{who}" publishes token life {life:d} instead'
+)
+def reissue(context, who, life):
+    context.store.state.restore(context.objects_before)
+    cfg, _, _ = publishing.read_current(context.store)
+    new = change_service(cfg, 's2', token_s=life)
+    done = publishing.publish(context.store, new, who, 'too', 'instead')
+    assert done.accepted, done
+
+
+@given(
+    'right before the next root write the cfg store loses that, and "{who}" '
+    'publishes token life {life:d} instead'
+)
+def reissue_late(context, who, life):
+    def reissue_then_put(*args):
+        reissue(context, who, life)
+        return context.store.put(*args)
+
+    context.store.hooks.append(reissue_then_put)
+
+
 @given('the cfg store answers reads with the state before that')
 def answer_stale(context):
     context.store.state.set_faults(platform_pb2.Faults(stale_reads=True))
@@ -205,7 +229,7 @@
 )
 def publish_from(context, who, limit, name, base):
     context.result = publish_change(
-        context, who, name, base=base, queue_limit=limit
+        context, who, name, base=Stamp(1, base), queue_limit=limit
     )
 
 
@@ -367,6 +391,31 @@
     check_revision(context, publishing.read_root(context.store)[1].revision)
 
 
+@when(
+    'a cfg pruner has read the root after {count:d} changes and the store '
+    'loses them'
+)
+def prune_overtaken(context, count):
+    class Overtaken:
+        """A store that is restored before it lists its parts."""
+
+        def __init__(self, store):
+            self.get = store.get
+            self.delete = store.delete
+
+        def list(self, *args, **options):
+            context.store.state.restore(context.objects_before)
+            return context.store.list(*args, **options)
+
+    publish_series(context, count)
+    pruning.prune_parts(Overtaken(context.store))
+
+
+@then('the cfg store has a whole cfg of revision {revision:d}')
+def check_whole(context, revision):
+    check_revision(context, revision)
+
+
 @when('a slow reader has read the cfg root and {count:d} changes follow')
 def read_slowly(context, count):
     class SlowReader:
@@ -497,7 +546,7 @@
                 f'o{operator}',
                 'race',
                 write_id,
-                base.revision,
+                base.stamp,
                 pause=lambda seconds: None,
             )
             assert done.accepted or done.code == Code.OPS_RACE_LOST, done
@@ -552,7 +601,7 @@
 def read_as_entry(context):
     """Let an entry read the platform and put in force what is newer."""
     cfg, _, _ = publishing.read_current(context.store)
-    context.dist.note_read(0, cfg.revision, cfg)
+    context.dist.note_read(0, cfg.stamp, cfg)
     context.in_force = context.dist.take_ripe(0) or context.in_force
 
 
--- a/features/steps/distribution_actor_steps.py
+++ b/features/steps/distribution_actor_steps.py
@@ -1,5 +1,6 @@
 """Steps about the configuration actor, the peer server and its clients."""
 
+import queue
 import threading
 from collections import Counter
 from types import SimpleNamespace
@@ -10,9 +11,15 @@
 
 from cornelgap.cfg.publishing import publish
 from cornelgap.core.settings import Cfg, KeyCfg, ServiceCfg, TargetCfg
+from cornelgap.core.stamps import Stamp
 from cornelgap.decisions.membership import Membership
 from cornelgap.entry import asking, peer_server
-from cornelgap.entry.cfg_actor import CfgActor, FetchEnded, ReadBundle
+from cornelgap.entry.cfg_actor import (
+    CfgActor,
+    FetchEnded,
+    ReadBundle,
+    RootSeen,
+)
 from cornelgap.entry.distribution import Distribution
 from cornelgap.entry.packets import AdoptCfg, ReadState
 from cornelgap.entry.peer_clients import PeerClients
@@ -40,7 +47,7 @@
         if isinstance(message, AdoptCfg):
             with self.changed:
                 self.state.cfg = message.cfg
-                self.adopted.append(message.cfg.revision)
+                self.adopted.append(message.cfg.stamp)
                 self.changed.notify_all()
         elif isinstance(message, ReadState):
             return message.read(self.state, 0)
@@ -48,14 +55,17 @@
 
 
 class WatchedCfgActor(CfgActor):
-    """A configuration actor that tells when a fetch has ended."""
+    """A configuration actor that tells of ended fetches and seen roots."""
 
     fetch_ended = threading.Event()
+    roots = queue.SimpleQueue()
 
     def on_receive(self, message):
         answer = super().on_receive(message)
         if isinstance(message, FetchEnded):
             self.fetch_ended.set()
+        elif isinstance(message, RootSeen):
+            self.roots.put(message.stamp)
         return answer
 
 
@@ -112,9 +122,7 @@
     context.packets[name] = packet
     context.apis[name] = start_server(
         context,
-        lambda known, revision: ref.ask(
-            ReadBundle(known, revision), block=False
-        ),
+        lambda known, stamp: ref.ask(ReadBundle(known, stamp), block=False),
         None,
     )
 
@@ -141,9 +149,9 @@
 
 @given('a peer server that gives a damaged bundle')
 def start_damaged(context):
-    def ask_cfg(known, revision):
+    def ask_cfg(known, stamp):
         fut = pykka.ThreadingFuture()
-        fut.set((9, b'\x0a\x03abc'))
+        fut.set((Stamp(1, 9), b'\x0a\x03abc'))
         return fut
 
     context.damaged = start_server(context, ask_cfg, None)
@@ -163,6 +171,13 @@
     assert result.accepted and result.revision == revision, result
 
 
+@when('the platform of the configuration actors loses and reissues it')
+def reissue(context):
+    context.store.state.restore({})
+    result = publish(context.store, make_cfg(2), 'op', 'why', 'again')
+    assert result.accepted and result.stamp == Stamp(2, 1), result
+
+
 @when('the platform of the configuration actors goes down')
 def stop_platform(context):
     context.store.state.faults.down = True
@@ -170,9 +185,17 @@
 
 @when('the packet actor of "{name}" hears that "{peer}" has revision {rev:d}')
 def hear_peer(context, name, peer, rev):
+    hear_era(context, name, peer, rev, 1)
+
+
+@when(
+    'the packet actor of "{name}" hears that "{peer}" has revision {rev:d} '
+    'of era {era:d}'
+)
+def hear_era(context, name, peer, rev, era):
     def hear(state, now):
         state.membership.note_heard(
-            0, peer, BOOT, rev, False, context.apis[peer]
+            0, peer, BOOT, Stamp(era, rev), False, context.apis[peer]
         )
 
     context.packets[name].ask(ReadState(hear))
@@ -180,9 +203,47 @@
 
 @then('the packet actor of "{name}" adopts revision {revision:d}')
 def check_adopted(context, name, revision):
+    check_era(context, name, revision, 1)
+
+
+@then(
+    'the packet actor of "{name}" adopts revision {revision:d} of era {era:d}'
+)
+def check_era(context, name, revision, era):
     adopted = context.adopted[name]
+    stamp = Stamp(era, revision)
     with context.changed:
-        assert context.changed.wait_for(lambda: revision in adopted, WAIT_S)
+        assert context.changed.wait_for(lambda: stamp in adopted, WAIT_S)
+
+
+@then('a watch shows revision {revision:d} of era {era:d}')
+def check_watch(context, revision, era):
+    stamp = Stamp(era, revision)
+    while WatchedCfgActor.roots.get(timeout=WAIT_S) != stamp:
+        continue
+
+
+@then(
+    'the configuration actor "{name}" gives nothing to a peer that has '
+    'revision {revision:d} of era {era:d}'
+)
+def check_no_bundle(context, name, revision, era):
+    call = context.control_clients.fetch_cfg(
+        context.apis[name], Stamp(era, revision), []
+    )
+    assert not run(context, call).document
+
+
+@then(
+    'the packet actor of "{name}" goes on with revision {revision:d} '
+    'of era {era:d}'
+)
+def check_goes_on(context, name, revision, era):
+    def read(state, now):
+        return state.cfg.stamp, state.membership.list_ahead(state.cfg.stamp)
+
+    found = context.packets[name].ask(ReadState(read))
+    assert found == (Stamp(era, revision), []), found
 
 
 @then('the configuration actor "{name}" hears that the fetch gave nothing')
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -1,10 +1,12 @@
 """Steps about the way of a configuration to every entry instance."""
 
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 
 from cornelgap.core.control import ControlView, Instance, PeerRevision
+from cornelgap.core.stamps import Stamp
 from cornelgap.decisions.fanout import is_watcher
 from cornelgap.decisions.membership import Membership
 from cornelgap.entry.distribution import (
@@ -14,6 +16,7 @@
     OpenWatch,
     ReadPlatform,
 )
+from features.proofs.hand import Desk, make_cfg
 
 TICK_S = 0.1
 
@@ -41,7 +44,7 @@
         self.dist.note_view(
             self.now,
             ControlView(
-                revision=self.dist.revision,
+                stamp=self.dist.stamp,
                 ahead=tuple(ahead),
                 behind_signs=self.signs,
                 live=live,
@@ -70,7 +73,7 @@
 def start_warm(context, live):
     context.driver = Driver(context.rng)
     context.driver.step()
-    context.driver.dist.note_read(0, 7, 7)
+    context.driver.dist.note_read(0, Stamp(1, 7), 7)
     context.driver.step()
     assert context.driver.adopted == [7]
     context.driver.view(live=live)
@@ -109,7 +112,14 @@
 @when("the distribution's read gives revision {revision:d}")
 def give_read(context, revision):
     driver = context.driver
-    driver.dist.note_read(driver.now, revision, revision)
+    driver.dist.note_read(driver.now, Stamp(1, revision), revision)
+    driver.step()
+
+
+@when("the distribution's read gives revision {revision:d} of era {era:d}")
+def give_era(context, revision, era):
+    driver = context.driver
+    driver.dist.note_read(driver.now, Stamp(era, revision), revision)
     driver.step()
 
 
@@ -122,7 +132,8 @@
 @when('the distribution\'s peer "{name}" gives revision {revision:d}')
 def give_fetch(context, name, revision):
     driver = context.driver
-    driver.dist.note_fetched(driver.now, name, revision, revision)
+    stamp = Stamp(1, revision)
+    driver.dist.note_fetched(driver.now, name, stamp, revision)
     driver.step()
 
 
@@ -135,14 +146,15 @@
 @when('the distribution hears that "{names}" has revision {revision:d}')
 def hear_revision(context, names, revision):
     ahead = [
-        PeerRevision(name, f'{name}:1', revision) for name in names.split(',')
+        PeerRevision(name, f'{name}:1', Stamp(1, revision))
+        for name in names.split(',')
     ]
     context.driver.view(ahead)
 
 
 @when("the distribution's watch shows revision {revision:d}")
 def show_root(context, revision):
-    context.driver.dist.note_watch_item(context.driver.now, revision)
+    context.driver.dist.note_watch_item(context.driver.now, Stamp(1, revision))
     context.driver.step()
     assert context.driver.count(ReadPlatform) == 1
 
@@ -179,14 +191,21 @@
         driver.view()
         for action in driver.step(10 / count):
             if isinstance(action, ReadPlatform):
-                driver.dist.note_read(driver.now, 7, 7)
+                driver.dist.note_read(driver.now, Stamp(1, 7), 7)
 
 
 @then('the distribution adopts nothing more and stays at {revision:d}')
 def check_stays(context, revision):
     context.driver.step(5)
     assert context.driver.adopted == [revision]
-    assert context.driver.dist.revision == revision
+    assert context.driver.dist.stamp.revision == revision
+
+
+@then('the distribution stays at revision {revision:d} of era {era:d}')
+def check_era(context, revision, era):
+    context.driver.step(5)
+    assert context.driver.adopted[-1] == revision
+    assert context.driver.dist.stamp == Stamp(era, revision)
 
 
 @then('the distribution adopts nothing yet')
@@ -292,7 +311,7 @@
         self.entries = {entry.name: entry for entry in entries}
         self.rng = rng
         self.now = 0
-        self.published = 7
+        self.published = Stamp(1, 7)
         self.reads = 0
         self.cut = None
         self.watches = set()
@@ -334,7 +353,7 @@
             self.now,
             sender,
             1,
-            self.drivers[sender].dist.revision,
+            self.drivers[sender].dist.stamp,
             False,
             f'{sender}:1',
         )
@@ -342,15 +361,15 @@
     def decide(self, name, driver):
         driver.now = self.now
         members = self.members[name]
-        revision = driver.dist.revision
+        stamp = driver.dist.stamp
         live = members.list_live_instances(self.now)
-        driver.view(members.list_ahead(revision), tuple(live))
+        driver.view(members.list_ahead(stamp), tuple(live))
         for action in driver.step():
             self.carry_out(name, driver, action)
         driver.step()
-        if driver.dist.revision != revision:
-            self.went_back |= driver.dist.revision < revision
-            members.note_adopted(self.now, driver.dist.revision)
+        if driver.dist.stamp != stamp:
+            self.went_back |= driver.dist.stamp < stamp
+            members.note_adopted(self.now, driver.dist.stamp)
 
     def carry_out(self, name, driver, action):
         dist = driver.dist
@@ -362,7 +381,7 @@
         elif isinstance(action, FetchPeer):
             found = None
             if self.can_talk(name, action.name):
-                found = self.drivers[action.name].dist.revision
+                found = self.drivers[action.name].dist.stamp
             dist.note_fetched(self.now, action.name, found, found)
         elif isinstance(action, OpenWatch) and reachable:
             self.watches.add(name)
@@ -371,23 +390,26 @@
         elif isinstance(action, CloseWatch):
             self.watches.discard(name)
 
-    def publish(self, revision):
-        self.published = revision
+    def publish(self, revision, era=1):
+        self.published = Stamp(era, revision)
         self.reads = 0
         for name in sorted(self.watches):
             if self.has_platform(name):
-                self.drivers[name].dist.note_watch_item(self.now, revision)
+                self.drivers[name].dist.note_watch_item(
+                    self.now, self.published
+                )
 
     def await_revision(self, revision, within, names):
+        self.await_stamp(Stamp(1, revision), within, names)
+
+    def await_stamp(self, stamp, within, names):
         until = self.now + within
         while self.now < until:
             self.run_turn()
-            if all(
-                self.drivers[name].dist.revision == revision for name in names
-            ):
+            if all(self.drivers[name].dist.stamp == stamp for name in names):
                 return
         raise AssertionError(
-            {name: self.drivers[name].dist.revision for name in names}
+            {name: self.drivers[name].dist.stamp for name in names}
         )
 
 
@@ -404,6 +426,28 @@
     context.fleet.publish(revision)
 
 
+@when(
+    "the distribution fleet's platform loses and reissues revision {revision:d}"
+)
+def restore_fleet(context, revision):
+    context.fleet.publish(revision, era=2)
+
+
+@then('the whole distribution fleet has era {era:d} within {seconds:d} s')
+def check_fleet_era(context, era, seconds):
+    fleet = context.fleet
+    fleet.await_stamp(Stamp(era, 8), seconds, fleet.entries)
+
+
+@then(
+    'the distribution fleet outside "{zone}" has era {era:d} within'
+    ' {seconds:d} s'
+)
+def check_era_outside(context, zone, era, seconds):
+    names = [e.name for e in context.fleet.entries.values() if e.zone != zone]
+    context.fleet.await_stamp(Stamp(era, 8), seconds, names)
+
+
 @when('zone "{zone}" of the distribution fleet is cut off')
 def cut_zone(context, zone):
     context.fleet.cut = zone
@@ -435,7 +479,7 @@
 def check_cut_zone(context, zone, rev):
     for entry in context.fleet.entries.values():
         if entry.zone == zone:
-            assert context.fleet.drivers[entry.name].dist.revision == rev
+            assert context.fleet.drivers[entry.name].dist.stamp.revision == rev
 
 
 @then("the platform's root was read at most {most:d} times for it")
@@ -446,3 +490,20 @@
 @then('no entry of the distribution fleet went back')
 def check_no_reverting(context):
     assert not context.fleet.went_back
+
+
+@given('an engine with revision {revision:d} of era {era:d} in force')
+def make_engine(context, revision, era):
+    context.desk = Desk()
+    context.desk.start_entry('e1', replace(make_cfg(revision), era=era))
+
+
+@when('the engine is given revision {revision:d} of era {era:d}')
+def give_engine(context, revision, era):
+    context.desk.adopt('e1', replace(make_cfg(revision), era=era))
+
+
+@then('the engine has revision {revision:d} of era {era:d} in force')
+def check_engine(context, revision, era):
+    found = context.desk.engines['e1'].state.cfg.stamp
+    assert found == Stamp(era, revision), found
--- a/features/steps/entry_admin_steps.py
+++ b/features/steps/entry_admin_steps.py
@@ -149,6 +149,24 @@
     context.status = await_result(read)
 
 
+@when("the administered entry's platform loses and reissues revision 1")
+def reissue(context):
+    context.platform_state.restore({})
+    publish_cfg(context, ['e9'])
+
+
+@then(
+    "the administered entry's status comes to name revision {revision:d} of "
+    'era {era:d}'
+)
+def check_era(context, revision, era):
+    def read():
+        reply = call(context, 'Status', admin_pb2.StatusRequest())
+        return (reply.era, reply.revision) == (era, revision)
+
+    await_result(read)
+
+
 @when('the administered entry is told to drain')
 def drain_plain(context):
     assert call(context, 'Drain', admin_pb2.DrainRequest(who='me')).accepted
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -1,11 +1,14 @@
 """Steps about the membership view."""
 
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 
 from cornelgap.core.control import Instance
+from cornelgap.core.stamps import Stamp
 from cornelgap.decisions.membership import Membership
+from features.proofs.hand import Desk, make_cfg
 
 BOOT = 7
 NEW_BOOT = 8
@@ -22,7 +25,7 @@
 
 
 def hear(context, now, name, boot=BOOT, leaving=False):
-    context.members.note_heard(now, name, boot, 3, leaving, 'api')
+    context.members.note_heard(now, name, boot, Stamp(1, 3), leaving, 'api')
 
 
 @given('a membership of {count:d} entries, all heard at 0 s')
@@ -115,7 +118,7 @@
 
 @when("the membership's own entry adopts revision {revision:d} at 0.1 s")
 def adopt(context, revision):
-    context.members.note_adopted(0.1, revision)
+    context.members.note_adopted(0.1, Stamp(1, revision))
 
 
 @when("{count:d} of the membership's entries are silent until 30 s")
@@ -248,7 +251,7 @@
 def exchange(context, now, name, peer):
     for sender, receiver in ((name, peer), (peer, name)):
         members = context.fleet[receiver]
-        members.note_heard(now, sender, BOOT, 3, False, 'api')
+        members.note_heard(now, sender, BOOT, Stamp(1, 3), False, 'api')
         context.heard[receiver].add(sender)
         context.bytes[sender] += PING_BYTES
         context.bytes[receiver] += PING_BYTES
@@ -302,3 +305,28 @@
 def check_address(context, name):
     listed = {entry.name: entry.address for entry in context.entries}
     assert context.members.find_address(name) == listed[name]
+
+
+@given(
+    'an entry with revision {one:d} of era {before:d} and its peer with '
+    '{other:d} of era {after:d}'
+)
+def start_two(context, one, before, other, after):
+    context.desk = Desk()
+    context.desk.start_entry('e1', replace(make_cfg(one), era=before))
+    context.desk.start_entry('e2', replace(make_cfg(other), era=after))
+
+
+@when("the membership's two entries have talked")
+def let_talk(context):
+    context.desk.pass_time(3)
+
+
+@then('only the one of era 1 knows of a peer that is ahead')
+def check_ahead(context):
+    states = [engine.state for engine in context.desk.engines.values()]
+    ahead = [
+        [peer.name for peer in state.membership.list_ahead(state.cfg.stamp)]
+        for state in states
+    ]
+    assert ahead == [['e2'], []], ahead
--- a/features/steps/refusal_steps.py
+++ b/features/steps/refusal_steps.py
@@ -12,7 +12,15 @@
     TargetCfg,
     TargetMode,
 )
+from cornelgap.core.token import (
+    Token,
+    mint_token,
+    pick_signing_key,
+    verify_token,
+)
 from cornelgap.core.window import WINDOW_SIZE
+from cornelgap.entry.replies import mint_flow_token
+from cornelgap.wire import peer_pb2
 from cornelgap.wire.caller_codec import encode_message
 from features.proofs.hand import CALLER, Desk, make_cfg
 
@@ -83,7 +91,37 @@
     return msg.Open('booking', 5)
 
 
+def make_later(context, service, boot):
+    """Make a request by a token of a later era."""
+    state = context.desk.engines['e1'].state
+    token = Token(
+        flow=bytes(16),
+        epoch=1,
+        service=service,
+        target='l1',
+        home='e1',
+        boot=boot,
+        revision=0,
+        expiry=int(context.desk.now) + 60,
+        era=1,
+    )
+    signed = mint_token(pick_signing_key(state.cfg.keys), token)
+    return make_request(context, service=service, token=signed)
+
+
+def name_later_service(context):
+    boot = context.desk.engines['e1'].state.boot
+    return make_later(context, 'later', boot)
+
+
+def name_later_target(context):
+    boot = context.desk.engines['e1'].state.boot
+    return make_later(context, 'booking', boot + 1)
+
+
 BAD = {
+    'a request for a service of a later era': name_later_service,
+    'a request of a lost home for a target of a later era': name_later_target,
     'a request with a forged token': forge_token,
     "a request after the token's expiry": outlive_token,
     'a request for another service': name_other_service,
@@ -116,6 +154,54 @@
     context.effects = engine.handle_peer(context.desk.now, b'\x08\x01\x12\x00')
 
 
+@when('a peer hands a flow over to it, on a target of a later era')
+def hand_over_later(context):
+    engine = context.desk.engines['e1']
+    record = peer_pb2.FlowRecord(
+        flow_id=bytes(16),
+        service='booking',
+        target='l1',
+        epoch=1,
+        successor_boot=engine.state.boot,
+        era=1,
+    )
+    context.taken, _ = engine.take_handover(context.desk.now, [record])
+
+
+@then('it takes no flow')
+def check_taken(context):
+    assert context.taken == 0
+
+
+@given('two entry instances of era 3 with an open flow')
+def open_in_era(context):
+    context.desk = Desk()
+    for name in ('e1', 'e2'):
+        context.desk.start_entry(name, replace(make_cfg(), era=3))
+    context.desk.pass_time(1)
+    context.flow = context.desk.open('e1')
+    context.desk.request('e1', context.flow, 1)
+    context.desk.run_all()
+
+
+@when("the flow's home leaves")
+def leave(context):
+    context.desk.engines['e1'].start_leaving(context.desk.now)
+    context.desk.tick('e1')
+
+
+@then('its first token, its next one and its handover name era 3')
+def check_eras(context):
+    desk = context.desk
+    state = desk.engines['e1'].state
+    (flow,) = state.flows.values()
+    renewed = mint_flow_token(state, desk.now, flow)
+    tokens = [context.flow.token, renewed]
+    eras = [verify_token(state.cfg.keys, token).era for token in tokens]
+    eras += [effect.records[0].era for _, effect in desk.handovers[:1]]
+    assert eras == [3, 3, 3], eras
+
+
 @when('a caller asks it about {what}')
 def ask_about(context, what):
     desk = context.desk
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -23,11 +23,11 @@
         found = self._call(self.state.get, name)
         return None if found is None else Versioned(*found)
 
-    def put(self, name, expected_version, value):
+    def put(self, name, expected_version, value, expected_era=0):
         """Write conditionally."""
         try:
             accepted, current = self._call(
-                self.state.put, name, expected_version, value
+                self.state.put, name, expected_version, value, expected_era
             )
         except AnswerLost as exc:
             raise CodedError(Code.PLT_ANSWER_LOST, str(exc), name) from exc
@@ -37,9 +37,11 @@
             raise CodedError(Code.PLT_ANSWER_LOST, 'too slow', name)
         return PutResult(accepted, current and Versioned(*current))
 
-    def delete(self, name, expected_version):
+    def delete(self, name, expected_version, expected_era=0):
         """Delete an object."""
-        return self._call(self.state.delete, name, expected_version)
+        return self._call(
+            self.state.delete, name, expected_version, expected_era
+        )
 
     def list(self, prefix, names_only=False):
         """List objects."""
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -55,6 +55,7 @@
             req.name,
             req.expected_version,
             req.value,
+            req.expected_era,
         )
         encoded = None if current is None else _encode(req.name, *current)
         return wire.PutReply(accepted=accepted, current=encoded)
@@ -62,7 +63,11 @@
     def Delete(self, req, context):
         """Delete an object of the expected version."""
         accepted = self._call(
-            context, self._state.delete, req.name, req.expected_version
+            context,
+            self._state.delete,
+            req.name,
+            req.expected_version,
+            req.expected_era,
         )
         return wire.DeleteReply(accepted=accepted)
 
@@ -128,8 +133,8 @@
         return self._state.count_calls()
 
 
-def _encode(name, version, value):
-    return wire.Object(name=name, version=version, value=value)
+def _encode(name, version, value, era):
+    return wire.Object(name=name, version=version, value=value, store_era=era)
 
 
 def start_platform(listen='127.0.0.1:0', state=None, credentials=None):
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -48,6 +48,7 @@
     """Objects, watches and instances behind one lock.
 
     :ivar faults: wire ``Faults`` in force; set by :meth:`set_faults`.
+    :ivar era: how often it was restored from a backup, from 1.
     """
 
     def __init__(self, expiry_s=_EXPIRY_S, clock=time.monotonic):
@@ -57,9 +58,11 @@
         :param clock: returns seconds; for the instance list only.
         """
         self.faults = wire.Faults()
+        self.era = 1
         self._lock = threading.Lock()
         self._objects = {}
         self._snapshot = {}
+        self._snapshot_era = self.era
         self._feeds = []
         self._heartbeats = {}
         self._expiry_s = expiry_s
@@ -71,6 +74,7 @@
         with self._lock:
             if faults.stale_reads and not self.faults.stale_reads:
                 self._snapshot = dict(self._objects)
+                self._snapshot_era = self.era
             self.faults = wire.Faults.FromString(faults.SerializeToString())
 
     def count_calls(self):
@@ -84,19 +88,25 @@
             return dict(self._objects)
 
     def restore(self, backup):
-        """Restore a backup: what was written since is lost."""
+        """Restore a backup: what was written since is lost.
+
+        Versions go on from the backup's, and are reissued.
+        """
         with self._lock:
             self._objects = dict(backup)
+            self.era += 1
 
     def get(self, name):
-        """Read (version, value), or None."""
+        """Read (version, value, era), or None."""
         with self._lock:
-            found = self._readable().get(name)
-            if found is not None:
-                self._counts.bytes_read += len(found[1])
-            return found
-
-    def put(self, name, expected_version, value):
+            objects, era = self._readable()
+            found = objects.get(name)
+            if found is None:
+                return None
+            self._counts.bytes_read += len(found[1])
+            return (*found, era)
+
+    def put(self, name, expected_version, value, expected_era=0):
         """Write conditionally; return (accepted, current or None)."""
         if len(value) > MAX_VALUE_BYTES:
             raise ValueError(f'value of {len(value)} bytes')
@@ -105,32 +115,40 @@
             self._counts.writes += 1
             current = self._objects.get(name)
             version = current[0] if current else 0
-            accepted = version == expected_version
+            accepted = version == expected_version and self._is_era(
+                expected_era
+            )
             if accepted:
                 current = (version + 1, value)
                 self._write(name, current)
             if self.faults.lose_answers:
                 self.faults.lose_answers -= 1
                 raise AnswerLost('the answer was lost')
-        return accepted, current
+            return accepted, current and (*current, self.era)
 
-    def delete(self, name, expected_version):
+    def delete(self, name, expected_version, expected_era=0):
         """Delete an object of the expected version; say whether it was."""
         with self._lock:
             self._check_up()
             self._counts.writes += 1
             current = self._objects.get(name)
-            accepted = current is not None and current[0] == expected_version
+            accepted = (
+                current is not None
+                and current[0] == expected_version
+                and self._is_era(expected_era)
+            )
             if accepted:
                 self._objects.pop(name)
             return accepted
 
     def list(self, prefix, names_only=False):
-        """List (name, version, value) by prefix, in the names' order."""
+        """List (name, version, value, era) by prefix, in the names' order."""
         with self._lock:
-            found = _select(self._readable(), prefix)
+            found = _select(*self._readable(), prefix)
             if names_only:
-                found = [(name, version, b'') for name, version, _ in found]
+                found = [
+                    (name, version, b'', era) for name, version, _, era in found
+                ]
             self._counts.bytes_read += sum(len(item[2]) for item in found)
             return found
 
@@ -142,7 +160,7 @@
             feed = Feed(prefix, self._forget_feed)
             self._feeds.append(feed)
             if not self.faults.mute_watches:
-                for item in _select(self._objects, prefix):
+                for item in _select(self._objects, self.era, prefix):
                     feed.push(item)
             return feed
 
@@ -181,7 +199,12 @@
     def _readable(self):
         self._check_up()
         self._counts.reads += 1
-        return self._snapshot if self.faults.stale_reads else self._objects
+        if self.faults.stale_reads:
+            return self._snapshot, self._snapshot_era
+        return self._objects, self.era
+
+    def _is_era(self, expected):
+        return expected in {0, self.era}
 
     def _check_up(self):
         if self.faults.forbidden:
@@ -196,7 +219,7 @@
             return
         for feed in self._feeds:
             if name.startswith(feed.prefix):
-                feed.push((name, *current))
+                feed.push((name, *current, self.era))
 
     def _forget_feed(self, feed):
         with self._lock:
@@ -222,9 +245,9 @@
         return seen[-1][1]
 
 
-def _select(objects, prefix):
+def _select(objects, era, prefix):
     return [
-        (name, *objects[name])
+        (name, *objects[name], era)
         for name in sorted(objects)
         if name.startswith(prefix)
     ]
