--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -163,6 +163,7 @@
         self._silent = []
         self._outliers = []
         self._away = []
+        self._lossy = False
         self.counts = Counter()
         self.handlers = {
             AdoptView: self._adopt_view,
@@ -286,6 +287,14 @@
                 extra={'zones': away, 'before': self._away},
             )
             self._away = away
+        lossy = self._engine.judge.is_lossy(self._turn_at)
+        if lossy != self._lossy:
+            _LOG.warning(
+                'forwarding: packets are lost on the way here'
+                if lossy
+                else 'forwarding: packets are no longer lost'
+            )
+            self._lossy = lossy
 
     def _send_reset(self, key, seq):
         caller = (self._codec.format_ip(key[0]), self._port)
@@ -404,5 +413,6 @@
             'answer_seconds_bucket': dict(self._engine.answers.counts),
             'flows': sum(load.flows for load in loads),
             'waiting': sum(load.waiting for load in loads),
+            'way_lossy': int(self._engine.judge.is_lossy(self._turn_at)),
         }
         return dict(self.counts), gauges, self._packet_at
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -10,6 +10,7 @@
     guards,
     lost_flow_stories,
     part_stories,
+    path_loss_stories,
     stories,
     withdrawal_stories,
     world_stories,
@@ -27,6 +28,7 @@
     cold_stories,
     lost_flow_stories,
     withdrawal_stories,
+    path_loss_stories,
 )
 
 
