Repeats to a zone that was cut off say nothing of the way here

Change: repeats to a zone that is away are not counted, and those without an answer are forgotten when it is back.

Result: the scenario of a zone that is back is red without the guard.

--- a/cornelgap/decisions/path_loss.py
+++ b/cornelgap/decisions/path_loss.py
@@ -9,8 +9,9 @@
 A repeat that is followed by an answer of its target was lost on the way, or
 was late: the target lives.  One here and there is chance; where a part of
 all requests needs them, at several targets, the cause is what these have in
-common.  A target that has crashed, and a zone that is cut off, answer no
-repeat and change nothing here.
+common.  A target that has crashed answers no repeat and changes nothing here; what
+callers repeat to a zone that is cut off is answered when it is back, and says
+nothing of the way here.
 """
 
 from collections import deque
@@ -66,6 +67,10 @@
         if self._is_losing(now):
             self._lossy_until = now + HOLD_S
 
+    def forget_repeats(self):
+        """Forget repeats without an answer, as a zone is back."""
+        self._open_repeats.clear()
+
     def is_lossy(self, now):
         """Say whether repeats speak of the way rather than of targets."""
         return now < self._lossy_until
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -135,7 +135,8 @@
         :param again: whether it had repeated the same before.
         :param opening: whether the flow is not open yet.
         """
-        self._path.note_repeat(cookie, now)
+        if target is None or not self._reach.is_away(target.zone):
+            self._path.note_repeat(cookie, now)
         if self._path.is_lossy(now):
             return
         flow = (OWN, packet.flow)
@@ -178,8 +179,8 @@
 
         :param opened_at: when the flow of the answer was first seen here.
         """
-        self._path.note_answer(cookie, answered_at, now)
         away_since = self._take_answer(cookie, target, answered_at)
+        self._path.note_answer(cookie, answered_at, now)
         if away_since is not None and opened_at > away_since:
             # One instance probes for all: the others have no flow there, and
             # would stay out of the zone until their own turn.  A flow that
@@ -275,7 +276,10 @@
         self._health.note_answer(cookie, answered_at, told)
         if target is None:
             return None
-        return self._reach.note_answer(target.zone, answered_at)
+        away_since = self._reach.note_answer(target.zone, answered_at)
+        if away_since is not None:
+            self._path.forget_repeats()
+        return away_since
 
     def _judge_repeat(self, cookie, target, flow, again, opening, now):
         away = False
--- a/features/path_loss.feature
+++ b/features/path_loss.feature
@@ -12,6 +12,12 @@
     Then the proof checkers have no objection
     But they object once the guard "path-loss" is taken out
 
+  Scenario: A zone is back whose targets answer what was repeated meanwhile
+    Guards against an instance that mistrusts itself while the next cut begins.
+    When the proof story "zone back" is played
+    Then the proof checkers have no objection
+    But they object once the guard "cut-repeats" is taken out
+
   Scenario: A full target answers no opening
     Guards against taking a full target for a crashed one.
     When the proof story "full target" is played
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -373,6 +373,10 @@
     patches.set_attr(path_loss.PathLoss, 'is_lossy', lambda self, now: False)
 
 
+def keep_cut_repeats(patches):
+    patches.set_attr(path_loss.PathLoss, 'forget_repeats', lambda self: None)
+
+
 def weigh_openings(patches):
     patches.set_attr(flow_health, 'OPENING_WEIGHT', flow_health.SECOND_WEIGHT)
 
@@ -698,6 +702,12 @@
         'an instance that loses packets itself gives no target up',
         trust_own_way,
     ),
+    (
+        'cut-repeats',
+        14,
+        'repeats to a zone that is cut off say nothing of the way here',
+        keep_cut_repeats,
+    ),
     (
         'opening-silence',
         14,
--- a/features/proofs/path_loss_stories.py
+++ b/features/proofs/path_loss_stories.py
@@ -19,6 +19,9 @@
 REPEATS_S = (0.2, 0.6, 1.4)
 """When a caller repeats its request, seconds after it."""
 
+CUT_REPEATS_S = (0.2, 0.4)
+"""Pauses before the first and the second repeat of a request."""
+
 PERIOD_S = 2.0
 """Each caller sends a request so often."""
 
@@ -137,3 +140,27 @@
         if desk.engine.reset_lost(desk.now):
             found.append('flows of a full target were reset')
     return found
+
+
+def play_zone_back():
+    """A zone is cut off, and its targets answer when it is back."""
+    far = tuple(make_target(number, zone='b') for number in range(21, 29))
+    desk = Desk()
+    desk.set_routes(make_route('search'))
+    desk.set_targets(*TARGETS, *far)
+    callers = {41001 + number: target for number, target in enumerate(far)}
+    for caller, target in callers.items():
+        desk.send(caller, target, ack=1)
+    desk.pass_time(2)
+    for wait in (0, *CUT_REPEATS_S):
+        desk.pass_time(wait)
+        desk.confirm()
+        for caller, target in callers.items():
+            desk.send(caller, target, ack=1, size=100)
+    desk.pass_time(0.35)
+    found = []
+    for caller, target in callers.items():
+        desk.send(caller, target, ack=900)
+        if desk.engine.judge.is_lossy(desk.now):
+            found.append('the way here is blamed for a cut beyond it')
+    return found[:1]
