--- a/features/path_loss.feature
+++ b/features/path_loss.feature
@@ -14,7 +14,7 @@
 
   Scenario: A zone is back whose targets answer what was repeated meanwhile
     Guards against an instance that mistrusts itself while the next cut begins.
-    When the proof story "zone back" is played
+    When the proof story "repeats answered after cut" is played
     Then the proof checkers have no objection
     But they object once the guard "cut-repeats" is taken out
 
--- a/features/proofs/path_loss_stories.py
+++ b/features/proofs/path_loss_stories.py
@@ -142,7 +142,7 @@
     return found
 
 
-def play_zone_back():
+def play_repeats_answered_after_cut():
     """A zone is cut off, and its targets answer when it is back."""
     far = tuple(make_target(number, zone='b') for number in range(21, 29))
     desk = Desk()
