Let the world of a zone's withdrawal tell of repeated openings

Cause: these travel in a field of their own now; without it no second instance saw that the zone beyond the cut is silent. Result: the scenario of a cut that comes and goes is green, and red without its guard.

--- a/features/proofs/withdrawal_world.py
+++ b/features/proofs/withdrawal_world.py
@@ -329,6 +329,7 @@
         if evidence:
             parts = {
                 'repeats': evidence.repeats,
+                'copies': evidence.copies,
                 'answers': evidence.answers,
                 'answer_ages': evidence.ages,
             }
@@ -376,7 +377,9 @@
     def _take(self, node, beat):
         node.near.note_beat(beat, self.now)
         node.standing.take_beat(beat, self.now)
-        evidence = Evidence(beat.repeats, beat.answers, beat.answer_ages)
+        evidence = Evidence(
+            beat.repeats, beat.answers, beat.answer_ages, beat.copies
+        )
         if evidence:
             node.engine.note_evidence(beat.name, evidence, self.now)
         if beat.hello:
