--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -69,6 +69,7 @@
     loads=loads,
     zone_loads=st.one_of(st.none(), loads.filter(bool)),
     repeats=st.lists(st.lists(words, min_size=3, max_size=3), max_size=3),
+    copies=st.lists(triples, max_size=2),
     answers=st.lists(words, max_size=3),
     outcomes=outcomes,
     zone_outcomes=outcomes,
