Refuse settings out of bounds, each by its field

Cause: a number of another type ended the reading with an AttributeError of its own, one that is infinite with an OverflowError, a seed that is no text with an AttributeError; a negative bound or a grace of nothing was taken as it stood. An instance that reads its settings while it runs must survive any file.

Change: numbers are finite, not negative and of bounded size, the grace is above nothing, a bound is no shorter than the shortest wait of a watch, seeds are HOST:PORT. A cold bound of -1 no longer stands for none; leaving it out does.

--- a/cornelgap/decisions/following.py
+++ b/cornelgap/decisions/following.py
@@ -18,6 +18,12 @@
 
 from msgspec import Struct
 
+SHORTEST_WAIT_S = 0.5
+"""Each watch is a call that is paid for, so that shorter ones are not made."""
+
+LONGEST_WAIT_S = 5.0
+"""A connection that has gone silent is noticed no later than this."""
+
 STALE_SLACK_S = 0.5
 """Age above the longest wait of a watch at which facts are too old: an
 answer of a slow store (0.25 s) and a lost datagram do not matter yet."""
@@ -46,7 +52,7 @@
 
     :param bound_s: time in which a change must be in force.
     """
-    return max(0.5, min(bound_s / 3, 5.0))
+    return max(SHORTEST_WAIT_S, min(bound_s / 3, LONGEST_WAIT_S))
 
 
 class Following(Struct):
--- a/cornelgap/platform/settings.py
+++ b/cornelgap/platform/settings.py
@@ -6,10 +6,20 @@
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.decisions.cold_starts import ColdLimit
+from cornelgap.decisions.following import SHORTEST_WAIT_S
 
 VARIABLE = 'CORNELGAP_CONFIG'
 """Environment variable with the path of the file."""
 
+LARGEST = 10**9
+"""Largest number that is read; sums and products of such numbers are finite."""
+
+SHORTEST_MS = int(SHORTEST_WAIT_S * 1000)
+"""Shortest bound, milliseconds: a watch must not wait for longer."""
+
+TEXT_LENGTH = 80
+"""Characters of a bad value that an error shows."""
+
 
 class NodeSettings(Struct, frozen=True):
     """What this process needs of its settings.
@@ -54,7 +64,7 @@
             content = tomllib.load(file)
     except OSError as exc:
         return None, [CodedError(Code.CFG_UNREADABLE, str(exc), path)]
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+    except (ValueError, RecursionError) as exc:
         return None, [CodedError(Code.CFG_SYNTAX, str(exc), path)]
     reader = _Reader(path, content)
     settings = NodeSettings(
@@ -64,13 +74,11 @@
         packets=reader.read_address('listen.datagram_addr'),
         ready=reader.read_address('listen.ready'),
         inner_ports=tuple(reader.read('internal_ports', list, [])),
-        seeds=tuple(
-            seed.rpartition(':')[0] for seed in reader.read('seeds', list, [])
-        ),
+        seeds=reader.read_hosts('seeds'),
         store=reader.read_address('platform.address'),
-        apply_s=reader.read_number('bounds.config_apply_ms', 3000) / 1000,
-        drain_s=reader.read_number('bounds.drain_ms', 3000) / 1000,
-        grace_s=reader.read_number('bounds.grace_s', 6),
+        apply_s=_read_bound(reader, 'bounds.config_apply_ms'),
+        drain_s=_read_bound(reader, 'bounds.drain_ms'),
+        grace_s=reader.read_number('bounds.grace_s', 6, above=0),
         capacity=int(reader.read_number('limits.link_mbps', 0)).bit_length(),
         cold_limit=_read_cold_limit(reader),
     )
@@ -80,12 +88,15 @@
     return (None if reader.errors else settings), reader.errors
 
 
+def _read_bound(reader, field):
+    return reader.read_number(field, 3000, SHORTEST_MS) / 1000
+
+
 def _read_cold_limit(reader):
-    over = reader.read_number('bounds.cold_over', -1)
-    slack = reader.read_number('bounds.cold_slack', -1)
-    if over < 0 and slack < 0:
+    fields = ('bounds.cold_over', 'bounds.cold_slack')
+    if not any(map(reader.has, fields)):
         return None
-    return ColdLimit(max(0, over), max(0, slack))
+    return ColdLimit(*(reader.read_number(field, 0) for field in fields))
 
 
 class _Reader:
@@ -99,26 +110,68 @@
     def add_error(self, field, text, code=Code.CFG_BAD_VALUE):
         self.errors.append(CodedError(code, text, f'{self._path} {field}'))
 
+    def has(self, field):
+        return self._find(field) is not None
+
     def read(self, field, kind, default=None):
-        found = self._content
-        for part in field.split('.'):
-            found = found.get(part) if isinstance(found, dict) else None
+        found = self._find(field)
         if found is None:
             if default is None:
                 self.add_error(field, 'is missing', Code.CFG_MISSING_OPTION)
                 return kind()
             return default
         if not isinstance(found, kind) or isinstance(found, bool):
-            self.add_error(field, f'{found!r} is no {kind.__name__}')
+            self.add_error(field, f'{_show(found)} is no {kind.__name__}')
             return kind()
         return found
 
-    def read_number(self, field, default):
-        return self.read(field, (int, float), default)
+    def read_number(self, field, default, least=0, above=None):
+        found = self._find(field)
+        if found is None:
+            return default
+        if isinstance(found, bool) or not isinstance(found, (int, float)):
+            self.add_error(field, f'{_show(found)} is no number')
+            return default
+        # No comparison holds for a value that is not a number.
+        if not least <= found <= LARGEST:
+            self.add_error(
+                field, f'{_show(found)} is not from {least} to {LARGEST}'
+            )
+            return default
+        if above is not None and found <= above:
+            self.add_error(field, f'{_show(found)} is not above {above}')
+            return default
+        return found
 
     def read_address(self, field):
-        text = self.read(field, str)
+        return self._split_address(field, self.read(field, str))
+
+    def read_hosts(self, field):
+        hosts = []
+        for text in self.read(field, list, []):
+            if isinstance(text, str) and text:
+                hosts.append(self._split_address(field, text)[0])
+            else:
+                self.add_error(field, f'{_show(text)} is no HOST:PORT')
+        return tuple(hosts)
+
+    def _find(self, field):
+        found = self._content
+        for part in field.split('.'):
+            found = found.get(part) if isinstance(found, dict) else None
+        return found
+
+    def _split_address(self, field, text):
         host, _, port = text.rpartition(':')
-        if text and not (host and port.isdigit()):
-            self.add_error(field, f'{text!r} is no HOST:PORT')
-        return host, int(port) if port.isdigit() else 0
+        is_port = port.isascii() and port.isdigit()
+        if text and not (host and is_port):
+            self.add_error(field, f'{_show(text)} is no HOST:PORT')
+        return host, int(port) if is_port else 0
+
+
+def _show(found):
+    try:
+        return repr(found)[:TEXT_LENGTH]
+    except ValueError:
+        # Python writes no number of thousands of digits.
+        return 'the number'
