Adopt changed settings while an instance runs

Cause: SIGHUP was heard and dropped, and a settings file that changed without a signal was read at the next start only. A SIGHUP in the third of a second in which the program is loaded ended the process.

Change: the main thread reads the file after a signal, or when its identity has changed and rested for a look. Fields that can change in a running process are told to the tasks that own them; others are named as needing a restart; a bad file is refused whole and read again until it is good. A changed link capacity is taken in by the other instances too: they kept the one that they had heard first. Signals go through a queue that a handler may use at any step, where an event's lock could have been held by the same thread.

--- a/cornelgap/decisions/cold_starts.py
+++ b/cornelgap/decisions/cold_starts.py
@@ -90,6 +90,19 @@
         """Say whether cold targets get a bounded number of flows."""
         return self._limit is not None
 
+    def set_limit(self, limit):
+        """Bound cold targets otherwise from now on.
+
+        Flows of the last second go on counting, so that a target gets no
+        more in the second of the change than the new limit gives.
+
+        :param limit: :class:`ColdLimit`, or None.
+        """
+        self._limit = limit
+        self._shares.clear()
+        if limit is None:
+            self._opened.clear()
+
     def set_members(self, names):
         """Note which instances the own zone has.
 
--- a/cornelgap/forwarding/beats.py
+++ b/cornelgap/forwarding/beats.py
@@ -54,7 +54,12 @@
         directory = self._directory
         own = self._own
         beat = peers.Beat(
-            own.name, own.zone, own.host, self._boot, own.capacity, **parts
+            own.name,
+            own.zone,
+            own.host,
+            self._boot,
+            self._neighbours.capacity,
+            **parts,
         )
         beat.hub = self._neighbours.is_hub
         if directory.complete:
--- a/cornelgap/forwarding/directory.py
+++ b/cornelgap/forwarding/directory.py
@@ -82,7 +82,7 @@
 
         :param wait_s: longest healthy wait between two confirmations.
         """
-        self._outage_s = wait_s + OUTAGE_SLACK_S
+        self.set_wait(wait_s)
         self.routes_stamp = UNKNOWN_CONFIG
         self.targets_stamp = UNKNOWN
         self.targets_changed = 0
@@ -106,6 +106,10 @@
         """Say whether both routes and targets have been learnt."""
         return self.routes_as_of is not None and self.targets_as_of is not None
 
+    def set_wait(self, wait_s):
+        """Judge from now on by another wait when the store was away."""
+        self._outage_s = wait_s + OUTAGE_SLACK_S
+
     def adopt_routes(self, routes, stamp, as_of, warmups=None):
         """Put a whole configuration in force if it is newer.
 
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -85,6 +85,19 @@
     """Message: tell the others that this instance ends."""
 
 
+class AdoptSettings(Struct, frozen=True):
+    """Message: these settings of the instance hold from now on.
+
+    :param wait_s: longest wait of a watch, seconds.
+    :param seeds: hosts of a few other instances, perhaps stale.
+    :param capacity: how much the own link carries, as a power of two.
+    """
+
+    wait_s: float
+    seeds: tuple
+    capacity: int
+
+
 class DirectoryActor(Service):
     """Keeps the newest facts and spreads them.
 
@@ -128,6 +141,7 @@
         self.counts = Counter()
         self.actor_inbox.add_socket(self._sock)
         self.handlers = {
+            AdoptSettings: self._adopt_settings,
             AnnounceLeaving: self._announce_leaving,
             EvidenceSeen: self._take_evidence,
             KeyKnown: self._take_key,
@@ -361,6 +375,12 @@
         following = self._following.active
         self._beats.send(hosts, zone, following, self._turn_at, **parts)
 
+    def _adopt_settings(self, message):
+        self._following.wait_s = message.wait_s
+        self._directory.set_wait(message.wait_s)
+        self._neighbours.set_seeds(message.seeds)
+        self._neighbours.capacity = message.capacity
+
     def _announce_leaving(self, _message):
         self._send_beat(
             self._neighbours.list_all_near(), self._own.zone, leaving=True
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -158,6 +158,10 @@
         self._news_s = pause_s * NEWS_PAUSES
         self.judge.set_instances(instances, rank)
 
+    def set_cold_limit(self, limit):
+        """Bound what cold targets get otherwise from now on."""
+        self._cold_starts.set_limit(limit)
+
     def note_members(self, names):
         """Note the names of this zone's instances; empty if not known."""
         self._cold_starts.set_members(names)
--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -47,6 +47,12 @@
     """Message: list all facts, as often as it takes to succeed once."""
 
 
+class AdoptWait(Struct, frozen=True):
+    """Message: wait this long for a change from the next watch on, seconds."""
+
+    wait_s: float
+
+
 class _Turn(Struct, frozen=True):
     """Message to itself: make the next call."""
 
@@ -79,6 +85,7 @@
         self._gathering = False
         self._failures = 0
         self.handlers = {
+            AdoptWait: self._adopt_wait,
             Follow: self._follow,
             ListOnce: self._want_list,
             _Turn: self._turn,
@@ -94,6 +101,9 @@
         self._active = message.active
         self._begin()
 
+    def _adopt_wait(self, message):
+        self._wait_s = message.wait_s
+
     def _want_list(self, _message):
         self._wanted = True
         self._begin()
--- a/cornelgap/forwarding/metric_page.py
+++ b/cornelgap/forwarding/metric_page.py
@@ -93,6 +93,12 @@
         GAUGE,
         'Instances of this zone that are known, this one included.',
     ),
+    Metric(
+        f'{_PREFIX}settings_reloads_total',
+        COUNTER,
+        'Changed settings files that were adopted, or refused.',
+        ('outcome',),
+    ),
     Metric(
         f'{_PREFIX}store_calls_total',
         COUNTER,
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -109,7 +109,7 @@
         self.zone = own.zone
         self.host = own.host
         self.capacity = own.capacity
-        self._seeds = [seed for seed in seeds if seed != own.host]
+        self.set_seeds(seeds)
         self._rng = rng
         self._members = {}
         self._recent = {}
@@ -121,6 +121,10 @@
         self._seed_at = float('-inf')
         self._far_at = float('-inf')
 
+    def set_seeds(self, seeds):
+        """Ask other hosts from now on; who is known already stays so."""
+        self._seeds = [seed for seed in seeds if seed != self.host]
+
     def note_beat(self, beat, now):
         """Take in a beat."""
         if beat.name == self.name:
@@ -130,6 +134,7 @@
             return
         member = self._add(beat.name, beat.zone, beat.host, beat.capacity, now)
         member.direct_at = now
+        member.capacity = beat.capacity
         member.beat = beat
         if beat.loads:
             member.loads = beat.loads
@@ -142,7 +147,9 @@
                 self._far_loads[beat.zone] = (now, beat.zone_loads)
         for name, zone, host, capacity in beat.members:
             if name != self.name:
-                self._add(name, zone, host, capacity, now)
+                member = self._add(name, zone, host, capacity, now)
+                if not _is_heard(member, now):
+                    member.capacity = capacity
 
     def expire(self, now):
         """Forget who was not heard of for long, and choose the hubs."""
@@ -264,9 +271,7 @@
         """Return [name, zone, host, capacity] of those to tell a zone of."""
         told = [[self.name, self.zone, self.host, self.capacity]]
         for member in self._members.values():
-            if member.direct_at is None:
-                continue
-            if now - member.direct_at > MENTION_S:
+            if not _is_heard(member, now):
                 continue
             is_hub = member.beat is not None and member.beat.hub
             if member.zone == zone or is_hub:
@@ -377,6 +382,11 @@
         return hubs or [members[0].host]
 
 
+def _is_heard(member, now):
+    """Say whether a member was heard itself so lately that others are told."""
+    return member.direct_at is not None and now - member.direct_at <= MENTION_S
+
+
 def _may_be_hub(member, now):
     """Say whether a member that should be a hub may be alive.
 
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -52,6 +52,16 @@
     as_of: float
 
 
+class AdoptColdLimit(Struct, frozen=True):
+    """Message: bound what cold targets get by this limit from now on.
+
+    :param limit: :class:`~cornelgap.decisions.cold_starts.ColdLimit`, None
+        for no bound.
+    """
+
+    limit: object
+
+
 class LoadSeen(Struct, frozen=True):
     """Message: flows on targets that this instance sees.
 
@@ -161,6 +171,7 @@
         self._lossy = False
         self.counts = Counter()
         self.handlers = {
+            AdoptColdLimit: self._adopt_cold_limit,
             AdoptView: self._adopt_view,
             OthersEvidence: self._take_evidence,
             OthersLoad: self._take_others,
@@ -377,6 +388,9 @@
         self._engine.note_zone_outcomes(message.outcomes, self._turn_at)
         self._log_beliefs()
 
+    def _adopt_cold_limit(self, message):
+        self._engine.set_cold_limit(message.limit)
+
     def _take_members(self, message):
         self._engine.note_members(message.names)
 
--- a/cornelgap/operators/explanation.py
+++ b/cornelgap/operators/explanation.py
@@ -29,6 +29,9 @@
     'forwarding: zones away',
     'node: ended',
     'node: leaving',
+    'node: settings changed',
+    'node: settings need a restart',
+    'node: settings refused',
     'node: started',
 )
 """Lines that say what an instance believes or suffers, for all its flows."""
--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import queue
 import random
 import signal
 import sys
@@ -13,6 +14,7 @@
 from cornelgap.forwarding import fetcher
 from cornelgap.forwarding.directory_actor import (
     DIRECTORY,
+    AdoptSettings,
     AnnounceLeaving,
     DirectoryActor,
     KeyKnown,
@@ -21,15 +23,25 @@
 )
 from cornelgap.forwarding.engine import Engine
 from cornelgap.forwarding.facts import read_clock
-from cornelgap.forwarding.follower import Follower
+from cornelgap.forwarding.follower import FOLLOWER, AdoptWait, Follower
 from cornelgap.forwarding.neighbours import Self
-from cornelgap.forwarding.packet_actor import Codec, PacketActor, ReadCounts
+from cornelgap.forwarding.packet_actor import (
+    FORWARDING,
+    AdoptColdLimit,
+    Codec,
+    PacketActor,
+    ReadCounts,
+)
 from cornelgap.kernel.logs import LineHandler, RateFilter, configure_logs
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.pages import make_server
 from cornelgap.kernel.supervision import Supervisor
 from cornelgap.platform import layout
 from cornelgap.platform.keys import KEYS, CheckKey, KeyKeeper
+from cornelgap.platform.settings_watch import (
+    SettingsWatch,
+    watch_until_stopped,
+)
 from cornelgap.platform.sources import StoreSource
 from cornelgap.platform.store import StoreClient
 
@@ -69,11 +81,13 @@
 
     :param settings: :class:`~cornelgap.platform.settings.NodeSettings`.
     :param sock: socket at which callers' packets arrive.
+    :param path: path of the settings file.
     """
 
-    def __init__(self, settings, sock):
+    def __init__(self, settings, sock, path):
         """Prepare; nothing runs before :meth:`start`."""
         self.settings = settings
+        self.settings_watch = SettingsWatch(path, settings, self.adopt_settings)
         self._sock = sock
         self.complete = threading.Event()
         self.leaving = threading.Event()
@@ -82,9 +96,9 @@
         self._client = None
 
     @classmethod
-    def from_settings(cls, settings, sock):
+    def from_settings(cls, settings, sock, path):
         """Build the node of one process."""
-        return cls(settings, sock)
+        return cls(settings, sock, path)
 
     def is_ready(self):
         """Say whether routers should send packets."""
@@ -95,7 +109,7 @@
         settings = self.settings
         name = settings.name
         rng = random.Random()
-        wait_s = compute_wait(min(settings.apply_s, settings.drain_s))
+        wait_s = compute_watch_wait(settings)
         port = settings.inner_ports[0]
         cold_starts = ColdStarts(name, settings.cold_limit)
         engine = Engine(settings.zone, rng, cold_starts)
@@ -125,6 +139,21 @@
         key_client = StoreClient.from_settings(settings)
         KeyKeeper.start(name, key_client, time.sleep, self._tell_key)
 
+    def adopt_settings(self, settings):
+        """Put changed settings in force.
+
+        Each task takes its part between two messages, so no packet waits.
+        """
+        self.settings = settings
+        wait_s = compute_watch_wait(settings)
+        messages = {
+            FORWARDING: AdoptColdLimit(settings.cold_limit),
+            FOLLOWER: AdoptWait(wait_s),
+            DIRECTORY: AdoptSettings(wait_s, settings.seeds, settings.capacity),
+        }
+        for service, message in messages.items():
+            tell_service(settings.name, service, message)
+
     def _read_snapshot(self):
         return self._directory.ask(ReadSnapshot(), timeout=fetcher.FETCH_S)
 
@@ -139,7 +168,11 @@
         more_counts, more_gauges = self._directory.ask(
             ReadNews(), timeout=ASK_S
         )
-        gauges.update(more_gauges, store_calls_total=self._client.calls)
+        gauges.update(
+            more_gauges,
+            settings_reloads_total=self.settings_watch.counts,
+            store_calls_total=self._client.calls,
+        )
         counts.update(more_counts)
         samples = metric_page.make_samples(counts, gauges)
         return 200, metric_page.make_page(samples)
@@ -160,6 +193,11 @@
             time.sleep(QUIET_S / 4)
 
 
+def compute_watch_wait(settings):
+    """Return the longest wait of a watch, seconds."""
+    return compute_wait(min(settings.apply_s, settings.drain_s))
+
+
 def end_crashed(name):
     """End the process, since one of its actors has crashed.
 
@@ -176,10 +214,11 @@
     threading.Thread(target=server.serve_forever, daemon=True).start()
 
 
-def run_node(settings, sock):
+def run_node(settings, sock, path):
     """Run one instance until SIGTERM; does not return.
 
     :param sock: socket at which callers' packets arrive.
+    :param path: path of the settings file.
     """
     configure_logs(
         {},
@@ -187,12 +226,20 @@
         LineHandler(sys.stdout.fileno()),
         limit=RateFilter(LOG_LINES_PER_S),
     )
-    node = Node.from_settings(settings, sock)
-    signal.signal(signal.SIGTERM, lambda *_: node.leaving.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    node = Node.from_settings(settings, sock, path)
+    # A handler may interrupt any step of this thread, one that holds a lock
+    # too; only this kind of queue allows for that.
+    signals = queue.SimpleQueue()
+
+    def note_signal(number, _frame):
+        signals.put(number)
+
+    signal.signal(signal.SIGTERM, note_signal)
+    signal.signal(signal.SIGHUP, note_signal)
     node.start()
     _LOG.info('node: started', extra={'zone': settings.zone})
-    node.leaving.wait()
+    watch_until_stopped(signals, node.settings_watch.look)
+    node.leaving.set()
     _LOG.info('node: leaving')
     node.leave()
     _LOG.info('node: ended')
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import signal
 import sys
 
 from cornelgap.forwarding.sockets import open_socket
@@ -21,7 +22,10 @@
 
 def main():
     """Run one instance until SIGTERM."""
-    settings, errors = load_node_settings(os.environ.get(VARIABLE, ''))
+    # The program is not loaded yet; it reads the file again when it is.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    path = os.environ.get(VARIABLE, '')
+    settings, errors = load_node_settings(path)
     for exc in errors:
         print(exc, file=sys.stderr)
     if errors:
@@ -30,7 +34,7 @@
     # Loaded only now, see the module's text.
     from cornelgap.platform.node import run_node
 
-    run_node(settings, sock)
+    run_node(settings, sock, path)
 
 
 if __name__ == '__main__':
