End the process when its main thread breaks

Cause: an error in the main thread, such as a metrics port that is taken, ended that thread alone: packets were forwarded, the instance said that it was ready, and nobody heard SIGTERM. Seen when two test runs shared a machine's addresses.

Change: such an error is logged as a crash and ends the process with exit code 3, as an actor's does.

--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -35,7 +35,7 @@
 from cornelgap.kernel.logs import LineHandler, RateFilter, configure_logs
 from cornelgap.kernel.names import tell_service
 from cornelgap.kernel.pages import make_server
-from cornelgap.kernel.supervision import Supervisor
+from cornelgap.kernel.supervision import Supervisor, report_crash
 from cornelgap.platform import layout
 from cornelgap.platform.keys import KEYS, CheckKey, KeyKeeper
 from cornelgap.platform.settings_watch import (
@@ -236,9 +236,13 @@
 
     signal.signal(signal.SIGTERM, note_signal)
     signal.signal(signal.SIGHUP, note_signal)
-    node.start()
-    _LOG.info('node: started', extra={'zone': settings.zone})
-    watch_until_stopped(signals, node.settings_watch.look)
+    try:
+        node.start()
+        _LOG.info('node: started', extra={'zone': settings.zone})
+        watch_until_stopped(signals, node.settings_watch.look)
+    except Exception as exc:
+        report_crash(settings.name, 'node', exc)
+        end_crashed('node')
     node.leaving.set()
     _LOG.info('node: leaving')
     node.leave()
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -79,6 +79,11 @@
     Then the metrics of all instances together count 40 placed flows
     And a page that does not exist gives 404, another method 405
 
+  Scenario: An instance that cannot open one of its ports ends
+    Guards against half an instance that is ready and hears no SIGTERM.
+    When an instance starts whose metrics port is taken
+    Then its process ends with exit code 3
+
   Scenario: An instance that loses one of its actors ends
     The actor of the directory meets an error that nobody thought of.  The
     process would look ready to routers and place flows on targets that are
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -490,6 +490,18 @@
     context.cleanups.append(lambda: kill(context.crashing))
 
 
+@when('an instance starts whose metrics port is taken')
+def start_without_port(context):
+    kill(context.procs['n1'])
+    taken = socket.socket()
+    taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    taken.bind((HOSTS[0], METRICS_PORT))
+    taken.listen()
+    context.cleanups.append(taken.close)
+    start_instance(context, 'n1')
+    context.crashing = context.procs['n1']
+
+
 @then('its process ends with exit code {code:d}')
 def check_exit(context, code):
     assert context.crashing.popen.wait(WAIT_S) == code
