--- a/cornelgap/core/meanings.py
+++ b/cornelgap/core/meanings.py
@@ -56,7 +56,8 @@
     'can handle; send the same datagram again after the stated time.',
     Code.REQ_MOVING: 'The flow is being handed to another entry; send the '
     'same datagram again.',
-    Code.CFG_SYNTAX: 'A line of the folder is no section, option or comment.',
+    Code.CFG_SYNTAX: 'A line of the folder is no section, option or comment, '
+    'or the settings file of an instance is no TOML.',
     Code.CFG_UNKNOWN_SECTION: 'The folder has a section of a kind that does '
     'not exist.',
     Code.CFG_UNKNOWN_OPTION: 'The section has no option of this name.',
--- a/features/settings_reload.feature
+++ b/features/settings_reload.feature
@@ -142,6 +142,14 @@
     Then the seeds are in force and the zone is the old one
     And one line names the zone as needing a restart
 
+  Scenario: Signals that wait are one, and a stop goes first
+    Guards against a stop that waits behind a storm of signals.
+    Given 5 signals of changed settings that wait
+    When the signals are handled until the stop that follows the first look
+    Then the file was looked at once
+    When a stop waits behind 5 signals of changed settings
+    Then the file is not looked at any more
+
   Scenario: A signal while the program is loaded does not end it
     Guards against a start that dies of the signal's default action.
     Then a process that is signalled in its first steps goes on to its tasks
--- a/features/steps/settings_reload_steps.py
+++ b/features/steps/settings_reload_steps.py
@@ -49,7 +49,10 @@
 from cornelgap.platform import settings_watch
 from cornelgap.platform.node import Node
 from cornelgap.platform.settings import load_node_settings
-from cornelgap.platform.settings_watch import SettingsWatch
+from cornelgap.platform.settings_watch import (
+    SettingsWatch,
+    watch_until_stopped,
+)
 from features.proofs.forwarding_desk import Desk, make_route, make_target
 from features.proofs.zone_world import Zone
 from features.steps import forwarding_process_steps as processes
@@ -606,6 +609,44 @@
     assert line.fields == {'zone': ["'a'", "'b'"]}, line.fields
 
 
+@given('{count:d} signals of changed settings that wait')
+def queue_signals(context, count):
+    context.signals = queue.SimpleQueue()
+    context.looks = []
+    for _ in range(count):
+        context.signals.put(signal.SIGHUP)
+
+
+def handle_signals(context):
+    def note_look(signalled):
+        context.looks.append(signalled)
+        context.signals.put(signal.SIGTERM)
+
+    watch_until_stopped(context.signals, note_look)
+
+
+@when('the signals are handled until the stop that follows the first look')
+def stop_after_look(context):
+    handle_signals(context)
+
+
+@then('the file was looked at once')
+def check_looked(context):
+    assert context.looks == [True]
+
+
+@when('a stop waits behind {count:d} signals of changed settings')
+def queue_stop(context, count):
+    queue_signals(context, count)
+    context.signals.put(signal.SIGTERM)
+    handle_signals(context)
+
+
+@then('the file is not looked at any more')
+def check_not_looked(context):
+    assert not context.looks
+
+
 @then('a process that is signalled in its first steps goes on to its tasks')
 def check_start(context):
     open_folder(context)
