--- a/features/steps/settings_reload_steps.py
+++ b/features/steps/settings_reload_steps.py
@@ -203,7 +203,13 @@
 def start_directory(context, number, port):
     own = Self(f'r{number}', 'a', f'127.0.0.{31 + number}')
     actor = DirectoryActor.start(
-        own, port, (), 1, random.Random(number), lambda: None
+        own,
+        port,
+        (),
+        1,
+        random.Random(number),
+        lambda: None,
+        lambda withdrawn: None,
     )
     context.cleanups.append(actor.stop)
     actor.tell(KeyKnown(KEY))
@@ -267,6 +273,7 @@
         wait_s,
         random.Random(1),
         lambda: None,
+        lambda withdrawn: None,
     )
     context.cleanups.append(context.actor.end)
 
