Routes tell priority, goal, timeout and type of their requests

What is admitted under overload depends on what callers need, and a route carried only its address and services. The adapter reads priority, latency_goal_ms, timeout_ms and type; a missing field takes its default, a malformed one as well, with an error that names it, and the route stays in force.

--- a/cornelgap/forwarding/directory_view.py
+++ b/cornelgap/forwarding/directory_view.py
@@ -7,16 +7,35 @@
 from msgspec import Struct, field
 
 
+class RequestPolicy(Struct, frozen=True):
+    """What the configuration says of the requests on a route.
+
+    :param priority: 0 is the highest; None if the route names none.
+    :param latency_goal_s: seconds in which callers want an answer; 0 if the
+        route names no goal.
+    :param timeout_s: seconds after which callers give a request up; 0 if
+        the route does not tell.
+    :param repeatable: whether a request may run twice.
+    """
+
+    priority: int | None = None
+    latency_goal_s: float = 0
+    timeout_s: float = 0
+    repeatable: bool = False
+
+
 class Route(Struct, frozen=True):
     """Where new flows to one address and port may go.
 
     :param shares: tuples (service, weight); weights are positive.
+    :param policy: :class:`RequestPolicy` of the requests inside.
     """
 
     name: str
     address: int
     port: int
     shares: tuple
+    policy: RequestPolicy = RequestPolicy()
 
 
 class Target(Struct, frozen=True):
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -10,6 +10,7 @@
 import json
 import zlib
 from hashlib import blake2b
+from itertools import chain, repeat
 
 from msgspec import Struct, field
 from msgspec.structs import astuple, fields
@@ -18,6 +19,7 @@
 from cornelgap.decisions.target_outliers import Outcomes
 from cornelgap.forwarding.directory_view import (
     UNREADABLE,
+    RequestPolicy,
     Route,
     Target,
     Warmup,
@@ -266,6 +268,10 @@
             [route.name, route.address, route.port, route.shares]
             for route in directory.list_routes()
         ],
+        # Beside the routes: an earlier version reads four values of each.
+        'policies': [
+            astuple(route.policy) for route in directory.list_routes()
+        ],
         'warmups': {
             service: [warmup.seconds, warmup.per_s]
             for service, warmup in directory.warmups.items()
@@ -322,10 +328,7 @@
                 int(content['routes_revision']),
             ),
             content['routes_age'],
-            [
-                Route(name, address, port, tuple(map(tuple, shares)))
-                for name, address, port, shares in content['routes']
-            ],
+            _load_routes(content),
             _load_stamp(content, 'targets'),
             content['targets_changed'],
             content['targets_age'],
@@ -370,6 +373,34 @@
     )
 
 
+def _load_routes(content):
+    # An instance of an earlier version tells no policies.
+    policies = chain(content.get('policies', ()), repeat(()))
+    return [
+        Route(
+            name,
+            address,
+            port,
+            tuple(map(tuple, shares)),
+            _load_policy(*policy),
+        )
+        for (name, address, port, shares), policy in zip(
+            content['routes'], policies, strict=False
+        )
+    ]
+
+
+def _load_policy(
+    priority=None, latency_goal_s=0, timeout_s=0, repeatable=False, *_later
+):
+    return RequestPolicy(
+        None if priority is None else int(priority),
+        float(latency_goal_s),
+        float(timeout_s),
+        bool(repeatable),
+    )
+
+
 def _load_warmups(content):
     if content is None:
         return None
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -10,6 +10,7 @@
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.forwarding.directory_view import (
+    RequestPolicy,
     Route,
     Target,
     Warmup,
@@ -42,6 +43,13 @@
 MAX_PER_S = 1_000_000
 """Far above the flows of any target; what is more is a mistake."""
 
+MAX_PRIORITY = 1000
+MAX_TIMEOUT_MS = 86_400_000
+"""A day; callers give a request up after seconds."""
+
+_REPEATABLE = {'idempotent': True, 'download': True, 'non_idempotent': False}
+"""Whether a request of a type may run twice."""
+
 MAX_BORN_MS = 1 << 53
 MAX_REVISION = 1 << 53
 """Largest whole numbers that every JSON writer keeps exact."""
@@ -59,15 +67,41 @@
     routes = []
     errors = []
     for position, item in enumerate(spec.get('routes') or ()):
+        place = f'{CONFIG_KIND}/{CONFIG_NAME} routes.{position}'
         try:
-            routes.append(_load_route(item))
+            policy, policy_errors = load_policy(item, place)
+            routes.append(_load_route(item, policy))
         except _MALFORMED as exc:
-            place = f'{CONFIG_KIND}/{CONFIG_NAME} routes.{position}'
             errors.append(CodedError(Code.CFG_BAD_VALUE, repr(exc), place))
+            continue
+        errors.extend(policy_errors)
     return routes, errors
 
 
-def _load_route(item):
+def load_policy(item, place):
+    """Load what a route says of the requests inside.
+
+    A field that is missing or cannot be read takes its default: the route
+    serves its callers all the same.
+
+    :param place: where the route stands, for errors.
+    :returns: tuple (:class:`RequestPolicy`, list of :class:`CodedError`);
+        an error names its field, and a missing field is none.
+    """
+    found = {}
+    errors = []
+    for field, (name, read) in _POLICY_FIELDS.items():
+        if field not in item:
+            continue
+        try:
+            found[name] = read(item[field])
+        except _MALFORMED as exc:
+            where = f'{place}.{field}'
+            errors.append(CodedError(Code.CFG_BAD_VALUE, repr(exc), where))
+    return RequestPolicy(**found), errors
+
+
+def _load_route(item, policy):
     # The wire's `host` and `path_prefix` are an address and a port here.
     split = item.get('split') or [{'service': item['service'], 'weight': 1}]
     shares = tuple(
@@ -84,6 +118,7 @@
         address=parse_ip(item['host']),
         port=int(item['path_prefix'].strip('/')),
         shares=shares,
+        policy=policy,
     )
 
 
@@ -236,6 +271,16 @@
     return found
 
 
+def check_type(found):
+    """Return whether requests of a type may run twice.
+
+    :raises ValueError: for a type that the platform does not name.
+    """
+    if not isinstance(found, str) or found not in _REPEATABLE:
+        raise ValueError(f'{_shorten(found)} is no type of requests')
+    return _REPEATABLE[found]
+
+
 def check_state(found):
     """Return a state that the platform names.
 
@@ -276,3 +321,20 @@
     if not identity:
         raise ValueError('identity 0')
     return identity
+
+
+def _read_priority(found):
+    return check_count(found, MAX_PRIORITY)
+
+
+def _read_seconds(found):
+    return check_number(found, MAX_TIMEOUT_MS) / 1000
+
+
+_POLICY_FIELDS = {
+    'priority': ('priority', _read_priority),
+    'latency_goal_ms': ('latency_goal_s', _read_seconds),
+    'timeout_ms': ('timeout_s', _read_seconds),
+    'type': ('repeatable', check_type),
+}
+"""Field of a route: name in :class:`RequestPolicy`, and how it is read."""
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -21,6 +21,7 @@
 from cornelgap.forwarding.directory import Directory
 from cornelgap.forwarding.directory_view import (
     UNREADABLE,
+    RequestPolicy,
     Route,
 )
 from cornelgap.forwarding.packets import Drop, Forward, Reset
@@ -194,8 +195,20 @@
 
 @then('hypothesis finds no directory that changes in a snapshot')
 def check_snapshots(context):
+    policies = st.builds(
+        RequestPolicy,
+        st.one_of(st.none(), st.integers(0, 9)),
+        st.floats(0, 100),
+        st.floats(0, 100),
+        st.booleans(),
+    )
     routes = st.builds(
-        Route, names, words, ports, st.just((('search', 2), ('archive', 1)))
+        Route,
+        names,
+        words,
+        ports,
+        st.just((('search', 2), ('archive', 1))),
+        policies,
     )
     targets = st.builds(
         make_target,
