Refuse openings under overload, by priority and fairly

The engine asks before it places an opening of which it knows nothing; what is refused is reset, and a copy whose first SYN was not seen here is dropped, since another instance may have passed that one on. FlowEvidence tells the bytes of answers whose time was seen. Counters by reason, a gauge of the admitted share, a log line when an overload begins, has changed much and ends; explain knows them. On for services whose routes name a priority.

Each scenario of a guard was red without it.

--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -13,6 +13,7 @@
 from cornelgap.decisions.flow_health import select_pool
 from cornelgap.decisions.target_choice import Candidate, choose_target
 from cornelgap.forwarding import packets as pkt
+from cornelgap.forwarding.admission_control import AdmissionControl
 from cornelgap.forwarding.directory_view import (
     View,
     Warmup,
@@ -25,6 +26,7 @@
     is_early_copy,
     is_from_target,
     order_services,
+    was_passed_on,
 )
 from cornelgap.forwarding.packets import Drop, Forward, Reason, Reset
 from cornelgap.forwarding.target_judge import TargetJudge
@@ -89,7 +91,8 @@
         self._opens_count = 0
         self._just_gone = set()
         self.judge = TargetJudge()
-        self._evidence = FlowEvidence(self.flows, self.judge)
+        self.admission = AdmissionControl(rng)
+        self._evidence = FlowEvidence(self.flows, self.judge, self._note_size)
 
     def adopt_view(self, view):
         """Use another picture of the directory from the next packet on."""
@@ -97,6 +100,8 @@
             self.judge.forget(cookie)
             self.flows.end_target(cookie)
             self._others.pop(cookie, None)
+        if view.routes is not self.view.routes:
+            self.admission.adopt_routes(view.routes)
         self._just_gone |= view.gone.keys() - self.view.gone.keys()
         self.view = view
         self.judge.keep(view.by_cookie.keys())
@@ -193,6 +198,7 @@
         """
         self._distrusted_at = now
         self.judge.clear()
+        self.admission.clear()
         self._evidence.clear()
 
     def handle(self, packet, now, late=False):
@@ -221,6 +227,13 @@
         """Forget flows that were not seen lately."""
         self.flows.expire(now)
 
+    def _note_size(self, key, flow, size):
+        target = self.view.by_cookie.get(flow.cookie)
+        if target is not None:
+            self.admission.note_answer(
+                target, key[2:], size, flow.waited_s, flow.answered_at
+            )
+
     def _is_answering(self, cookie, now):
         return now - self.flows.get_load(cookie).answered_at < ALIVE_S
 
@@ -240,6 +253,11 @@
                 return Drop(Reason.NOT_FRESH)
             return Reset(packet.ack, Reason.NO_ROUTE)
         known = self.flows.find(packet.flow)
+        if not was_passed_on(known):
+            name = order_services(route, packet)[0]
+            refusal = self.admission.judge_opening(name, route, packet, now)
+            if refusal is not None:
+                return refusal
         early = is_early_copy(packet, known, now)
         tried = () if early else self._note_copy(packet, known, now)
         if early or (tried and packet.ack < MOVING_COPY):
--- a/cornelgap/forwarding/flow_evidence.py
+++ b/cornelgap/forwarding/flow_evidence.py
@@ -19,11 +19,14 @@
 
     :param flows: :class:`~cornelgap.forwarding.flows.FlowTable`.
     :param judge: :class:`~cornelgap.forwarding.target_judge.TargetJudge`.
+    :param note_size: hears of each answer whose time is known: the flow's
+        key, the flow and the answer's bytes.
     :ivar answers: counts of the times that answers took.
     """
 
-    def __init__(self, flows, judge):
+    def __init__(self, flows, judge, note_size):
         """Watch no request yet."""
+        self._note_size = note_size
         self._flows = flows
         self._judge = judge
         self._watch = RequestWatch()
@@ -87,6 +90,7 @@
         if known.waiting_since and not packet.size:
             waited_s = now - known.waiting_since
             self.answers.add(waited_s)
+            known.answered_at, known.waited_s = now, waited_s
             known.prompt = self._watch.note_answer(packet.flow, waited_s)
         self._judge.note_answer(cookie, target, answered_at, known.opened_at)
 
@@ -100,6 +104,8 @@
         if not closing and not is_next_request(packet, known):
             return
         size = (packet.ack - known.asked_ack) & SEQUENCE_MASK
+        if size and known.waited_s is not None:
+            self._note_size(packet.flow, known, size)
         if not size or self._watch.note_size(packet.flow, size):
             self._note_failure(known)
         elif known.prompt is not None:
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -42,6 +42,9 @@
     :param failed: whether its last request was told of as a failure.
     :param prompt: whether the answer came about as fast as usual; None if
         that is not known.
+    :param answered_at: when the last answer showed in a packet of its own.
+    :param waited_s: seconds from its request until then; None if that is
+        not known.
     """
 
     cookie: int
@@ -57,6 +60,8 @@
     asked_ack: int | None = None
     failed: bool = False
     prompt: bool | None = None
+    answered_at: float = 0
+    waited_s: float | None = None
     closed: bool = False
 
 
@@ -236,6 +241,7 @@
                 flow.asked_ack = packet.ack
                 flow.failed = False
                 flow.prompt = None
+                flow.waited_s = None
                 load.waiting += 1
 
     def _end_wait(self, flow, load):
--- a/cornelgap/forwarding/metric_page.py
+++ b/cornelgap/forwarding/metric_page.py
@@ -45,6 +45,12 @@
         GAUGE,
         'Flows that wait for an answer.',
     ),
+    Metric(
+        f'{_PREFIX}admitted_share',
+        GAUGE,
+        'Share of openings that is admitted, by priority; 1 without overload.',
+        ('service', 'priority'),
+    ),
     Metric(
         f'{_PREFIX}directory_age_seconds',
         GAUGE,
@@ -103,13 +109,13 @@
 
     :param counts: counters by key, as the actors keep them.
     :param gauges: values by the metric's name without its prefix; for
-        labelled ones a dict by label.
+        labelled ones a dict by label, or by a tuple of several.
     """
     samples = [_make_sample(key, value) for key, value in counts.items()]
     for name, value in gauges.items():
         values = value.items() if isinstance(value, dict) else [((), value)]
         for label, number in values:
-            labels = (label,) if label else ()
+            labels = label if isinstance(label, tuple) else (label,)
             samples.append(Sample(f'{_PREFIX}{name}', number, labels))
     return samples
 
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -26,8 +26,11 @@
 repeat a SYN after 0.2 and 0.6 s and give an attempt up after 1.4 s; an
 opening that is carried on later only occupies a target."""
 
-PLACED_SAMPLE = 50
-"""One of so many ordinary openings gets a line; all others are counted."""
+SAMPLE = 50
+"""One of so many ordinary openings, and refusals under overload, gets a
+line; all others are counted."""
+
+_SAMPLED = frozenset((Reason.PLACED, Reason.OVERLOADED, Reason.COPY_OVERLOADED))
 
 MAX_HELD = 1024
 """Openings kept until the configuration is known.  Further ones are dropped,
@@ -326,7 +329,7 @@
             self._send_reset(packet.flow, effect.seq)
 
     def _log_effect(self, packet, effect):
-        if effect.reason is Reason.PLACED and not self._is_sampled():
+        if effect.reason in _SAMPLED and not self._is_sampled(effect.reason):
             return
         target = effect.target if isinstance(effect, Forward) else None
         _LOG.info(
@@ -343,8 +346,8 @@
             },
         )
 
-    def _is_sampled(self):
-        return self.counts[Reason.PLACED] % PLACED_SAMPLE == 1
+    def _is_sampled(self, reason):
+        return self.counts[reason] % SAMPLE == 1
 
     def _send(self, datagram, address):
         try:
@@ -378,17 +381,23 @@
 
     def _tick(self, _message):
         self._engine.note_overdue(self._turn_at)
+        self._step_admission()
         self._engine.expire(self._turn_at)
         self._tell_evidence()
         self._reset_lost()
         loads = self._engine.flows.count_flows()
         self._tell(LoadSeen(loads, self._engine.judge.take_outcomes()))
 
+    def _step_admission(self):
+        for fields in self._engine.admission.step(self._turn_at):
+            _LOG.warning('forwarding: overload of a service', extra=fields)
+
     def _give_counts(self, _message):
         loads = self._engine.flows.loads.values()
         gauges = {
             'answer_seconds_bucket': dict(self._engine.answers.counts),
             'flows': sum(load.flows for load in loads),
             'waiting': sum(load.waiting for load in loads),
+            'admitted_share': self._engine.admission.read_shares(),
         }
         return dict(self.counts), gauges, self._packet_at
--- a/cornelgap/forwarding/packet_checks.py
+++ b/cornelgap/forwarding/packet_checks.py
@@ -17,6 +17,17 @@
     return bool(packet.flags & (pkt.ACK | pkt.RST | pkt.FIN))
 
 
+def was_passed_on(known):
+    """Say whether a SYN of a flow was sent to a target before.
+
+    The target may have opened the flow and run its request: a reset that
+    says "not run" would be false.
+
+    :param known: the flow as seen here, or None.
+    """
+    return known is not None
+
+
 def is_early_copy(packet, known, now):
     """Say whether a copy of a SYN was read just after the one before it.
 
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -60,6 +60,8 @@
     ROUTE_DROPPED = 'route_dropped'
     NO_TARGET = 'no_target'
     COLD_TARGETS = 'cold_targets'
+    OVERLOADED = 'overloaded'
+    COPY_OVERLOADED = 'copy_overloaded'
     TARGET_SILENT = 'target_silent'
     TARGET_GONE = 'target_gone'
     NOT_FRESH = 'not_fresh'
--- a/cornelgap/operators/explanation.py
+++ b/cornelgap/operators/explanation.py
@@ -22,6 +22,7 @@
     'follower: store era',
     'follower: store is back',
     'follower: store lost',
+    'forwarding: overload of a service',
     'forwarding: process stood still',
     'forwarding: targets given up',
     'forwarding: zones away',
@@ -43,6 +44,10 @@
     'in a zone that takes new flows',
     'cold_targets': 'the targets of the service have just started and had got '
     'their flows of this second',
+    'overloaded': 'the targets of the service shed, and the share of its '
+    'priority that is admitted had been given out; nothing has run',
+    'copy_overloaded': 'the targets of the service shed, and what became of '
+    'the first copy of the opening was not known here',
     'target_silent': 'the target had answered nobody, so its callers were '
     'told at once',
     'target_gone': "the target's registration has ended",
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -2,13 +2,16 @@
 
 from cornelgap.decisions import (
     cold_starts,
+    fair_shares,
     flow_health,
     following,
+    overload,
     target_choice,
     target_outliers,
     zone_reach,
 )
 from cornelgap.forwarding import (
+    admission_control,
     directory,
     engine,
     flows,
@@ -368,7 +371,103 @@
     patches.set_attr(flows.FlowTable, 'list_held', list_held)
 
 
+def admit_everything(patches):
+    patches.set_attr(admission_control, 'ENABLED', False)
+
+
+def count_sheds_of_few(patches):
+    patches.replace_function(
+        overload.is_spread, lambda sheds, shedding, targets: True
+    )
+
+
+def count_sheds_at_once(patches):
+    patches.set_attr(admission_control, 'YOUNG_S', 0)
+    patches.set_attr(overload, 'SIGNS', 1)
+
+
+def believe_first_sign(patches):
+    patches.set_attr(overload, 'SIGNS', 1)
+
+
+def cut_all_alike(patches):
+    def cut_shares(shares, tally):
+        kept = 1 - tally.sheds / tally.answers
+        return {
+            name: max(overload.FLOOR, share * kept)
+            for name, share in shares.items()
+        }
+
+    patches.replace_function(overload.cut_shares, cut_shares)
+
+
+def draw_among_all(patches):
+    patches.set_attr(
+        fair_shares.FairShares,
+        'find_chance',
+        lambda self, caller: self._share,
+    )
+
+
+def refuse_copies(patches):
+    patches.replace_function(
+        admission_control.has_surely_not_run, lambda packet: True
+    )
+
+
+def refuse_passed_on(patches):
+    patches.replace_function(packet_checks.was_passed_on, lambda known: False)
+
+
 LIST = (
+    (
+        'overload-gate',
+        0,
+        'openings beyond the room of the targets are refused',
+        admit_everything,
+    ),
+    (
+        'overload-spread',
+        0,
+        'sheds of few targets refuse nothing',
+        count_sheds_of_few,
+    ),
+    (
+        'overload-young',
+        0,
+        'the rush after an outage is no overload',
+        count_sheds_at_once,
+    ),
+    (
+        'overload-signs',
+        0,
+        'a rush within one step is no overload',
+        believe_first_sign,
+    ),
+    (
+        'overload-priority',
+        0,
+        'the least urgent priority gives way first',
+        cut_all_alike,
+    ),
+    (
+        'overload-fair',
+        0,
+        'a flood takes no room from other callers',
+        draw_among_all,
+    ),
+    (
+        'overload-copies',
+        0,
+        'a copy whose first SYN is not known is never refused',
+        refuse_copies,
+    ),
+    (
+        'overload-passed',
+        0,
+        'an opening that was passed on is never refused',
+        refuse_passed_on,
+    ),
     (
         'zone-drained',
         8,
--- /dev/null
+++ b/features/proofs/overload_stories.py
@@ -0,0 +1,220 @@
+"""Stories of services whose targets shed and whose callers retry at once.
+
+Each returns the violations that it saw, so that the same story is played
+with its guard and without it.
+"""
+
+from cornelgap.forwarding import admission_control
+from cornelgap.forwarding import packets as pkt
+from cornelgap.forwarding.packets import Forward, Reason, Reset
+from features.proofs.forwarding_desk import make_packet
+from features.proofs.overload_world import URGENT, WORST, OverloadWorld
+
+USUAL = 0.5
+"""Part of what the targets serve that callers ask for on an ordinary day."""
+
+SETTLED_S = 4
+ENDS_S = 7
+
+
+def play_load(load, seconds=ENDS_S - 2, **changes):
+    """Play two ordinary seconds and then a lasting overload."""
+    world = OverloadWorld(**changes)
+    world.press(USUAL)
+    world.run(2)
+    world.press(load)
+    world.run(seconds)
+    return world
+
+
+def judge_load(world, first=SETTLED_S, last=ENDS_S):
+    """Judge what was served in some seconds of an overload."""
+    found = list(world.objections[:1])
+    useful = world.count(world.served, first, last)
+    useful /= (last - first) * world.capacity
+    if useful < 0.9:
+        found.append(f'targets serve {useful:.2f} of what they could')
+    came = world.count(world.came, first, last, URGENT)
+    served = world.count(world.served, first, last, URGENT)
+    fits = min(came, 0.85 * (last - first) * world.capacity)
+    if served < 0.95 * fits:
+        found.append(f'{served} of {came} urgent requests are served')
+    arrived = world.count(world.shed, first, last)
+    arrived += world.count(world.served, first, last)
+    share = world.count(world.shed, first, last) / arrived
+    if share > 0.3:
+        found.append(f'targets shed {share:.2f} of what arrives')
+    return found
+
+
+def play_overload_doubled():
+    """Callers ask for twice what the targets serve."""
+    return judge_load(play_load(2))
+
+
+def play_overload_sixfold():
+    """Callers ask for six times as much; urgent requests alone do not fit."""
+    return judge_load(play_load(6))
+
+
+def play_overload_new_instance():
+    """An instance starts while the targets are overloaded."""
+    world = play_load(2, 2)
+    world.restart(0)
+    world.run(7)
+    return judge_load(world, 8, 11)
+
+
+def play_overload_flood():
+    """One of many callers sends as much as all others together."""
+    world = OverloadWorld()
+    world.press(0.7, urgent=0.2)
+    world.run(2)
+    world.flood = world.capacity
+    world.run(2)
+    before = dict(world.by_account)
+    came_before = world.count(world.came, 0, 4, WORST)
+    world.run(4)
+    flood = world.by_account[WORST, 0] - before.get((WORST, 0), 0)
+    others = sum(
+        number - before.get(key, 0)
+        for key, number in world.by_account.items()
+        if key[0] == WORST and key[1]
+    )
+    rate, _ = world.rates[WORST]
+    found = judge_load(world, 4, 8)
+    if came_before and others < 0.85 * rate * 4:
+        found.append(f'{others} requests of others are served, {flood} of one')
+    if flood < 0.1 * 4 * world.capacity:
+        found.append('the flood does not get what others leave')
+    return found
+
+
+def play_overload_equal_callers():
+    """All callers of a priority ask for the same and not all fit."""
+    world = play_load(3, 1)
+    before = dict(world.by_account)
+    world.run(8)
+    _, accounts = world.rates[WORST]
+    served = [
+        world.by_account[WORST, one] - before.get((WORST, one), 0)
+        for one in range(1, accounts + 1)
+    ]
+    mean = sum(served) / len(served)
+    if min(served) < 0.4 * mean or max(served) > 1.8 * mean:
+        return [f'equal callers get from {min(served)} to {max(served)}']
+    return []
+
+
+def play_overload_short():
+    """A rush is over before a caller's first copy."""
+    world = play_load(4, 0.2)
+    world.press(USUAL)
+    world.run(3)
+    return ['openings are refused'] if world.refused else []
+
+
+def play_overload_ends():
+    """An overload ends, and refusals with it."""
+    world = play_load(6, 3)
+    world.press(USUAL)
+    world.run(6)
+    came = world.count(world.came, 8, 11)
+    served = world.count(world.served, 8, 11)
+    found = []
+    if served < 0.95 * came:
+        found.append(f'{served} of {came} requests are served afterwards')
+    for desk in world.desks:
+        states = [line['state'] for line in world.told[desk]]
+        if not states or states[0] != 'begins' or 'ends' not in states:
+            found.append(f'operators are told of {states}')
+    return found
+
+
+def play_overload_failing_minority():
+    """A fifth of the targets answers errors to half of what they get."""
+    world = OverloadWorld(targets=10, failing=2)
+    world.press(0.6)
+    world.run(6)
+    return ['openings are refused'] if world.refused else []
+
+
+def play_overload_room():
+    """Callers ask for nearly all that the targets serve."""
+    world = OverloadWorld()
+    world.press(0.85)
+    world.run(6)
+    return ['openings are refused'] if world.refused else []
+
+
+def play_overload_after_power():
+    """All instances are back, and callers that waited return at once."""
+    world = OverloadWorld()
+    world.press(USUAL)
+    world.run(2)
+    for number in range(len(world.desks)):
+        world.restart(number)
+    world.press(5)
+    world.run(0.6)
+    world.press(USUAL)
+    world.run(2)
+    return ['openings are refused'] if world.refused else []
+
+
+def play_overload_open_flows():
+    """Worse requests on open flows shed; the urgent ones alone would fit."""
+    world = play_load(4, 3)
+    shares = [
+        desk.engine.admission.read_shares()['search', str(URGENT)]
+        for desk in world.desks
+    ]
+    if min(shares) < 1:
+        return [f'urgent openings are cut to {min(shares):.2f}']
+    return []
+
+
+def play_overload_copies():
+    """Copies of openings reach instances that refuse."""
+    world = play_load(6, 3)
+    desk = world.desks[0]
+    found = []
+    for number in range(300):
+        caller = 61000 + number
+        syn = make_packet(caller, pkt.SYN, 443 + WORST, source=7)
+        effect = desk.put(syn)
+        if isinstance(effect, Reset) and effect.reason != Reason.OVERLOADED:
+            found.append(f'refused as {effect.reason}')
+        passed = isinstance(effect, Forward)
+        for copy in (1, 2):
+            desk.now += 0.2
+            again = make_packet(
+                caller, pkt.SYN, 443 + WORST, source=7, ack=copy
+            )
+            # Elsewhere, or here before a restart, it may have been passed on.
+            other = make_packet(
+                caller + 1000, pkt.SYN, 443 + WORST, source=7, ack=copy
+            )
+            if passed and not isinstance(desk.put(again), Forward):
+                found.append('a copy of an opening that was passed on waits')
+            if isinstance(desk.put(other), Reset):
+                found.append('a copy of an unknown opening is refused')
+    return found[:1]
+
+
+def play_overload_unnamed():
+    """The routes name no priority: nothing is refused."""
+    world = OverloadWorld(named=False)
+    world.press(4)
+    world.run(2)
+    return ['openings are refused'] if world.refused else []
+
+
+def play_overload_switched_off():
+    """The part is taken out for a trial."""
+    enabled = admission_control.ENABLED
+    admission_control.ENABLED = False
+    try:
+        world = play_load(4, 2)
+    finally:
+        admission_control.ENABLED = enabled
+    return ['openings are refused'] if world.refused else []
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -9,6 +9,7 @@
     grey_stories,
     guards,
     lost_flow_stories,
+    overload_stories,
     part_stories,
     stories,
     world_stories,
@@ -25,6 +26,7 @@
     drain_stories,
     cold_stories,
     lost_flow_stories,
+    overload_stories,
 )
 
 
