Tell sheds from short whole answers by bytes, time and room for a body

A status without a body may be a fifth of a short answer's size; whole answers of one kind differ by as much where they are long. Short ones count as sheds only if they came no later than usual. Scenarios: answers of three kinds that differ, a route that sheds nineteen of twenty, one whose answers become short for good, a service with one priority; each was red without its guard.

--- a/features/overload.feature
+++ b/features/overload.feature
@@ -103,6 +103,29 @@
     But they object once the guard "overload-copies" is taken out
     And they object once the guard "overload-passed" is taken out
 
+  Scenario: Nineteen of twenty answers are sheds
+    The gate must not open when the overload is worst.
+    When the proof story "overload mostly sheds" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-usual" is taken out
+
+  Scenario: Whole answers differ in length
+    Short ones among them must not look like an overload.
+    When the proof story "overload answers vary" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-quick" is taken out
+
+  Scenario: The answers of a route become short for good
+    A new version of a service must not look overloaded for ever.
+    When the proof story "overload shorter answers" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-habit" is taken out
+
+  Scenario: A service with one priority
+    When the proof story "overload one priority" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-gate" is taken out
+
   Scenario: Routes that name no priority
     When the proof story "overload unnamed" is played
     Then the proof checkers have no objection
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -6,6 +6,7 @@
     flow_health,
     following,
     overload,
+    shed_answers,
     target_choice,
     target_outliers,
     zone_reach,
@@ -409,6 +410,22 @@
     )
 
 
+def keep_all_sheds(patches):
+    patches.set_attr(shed_answers, 'KEPT_SHORT', 1)
+
+
+def count_late_sheds(patches):
+    patches.set_attr(
+        shed_answers.ShedAnswers,
+        'note_answer',
+        lambda self, size, waited_s: self._note_size(size, waited_s),
+    )
+
+
+def keep_no_shorts(patches):
+    patches.set_attr(shed_answers, 'KEPT_SHORT', 1 << 30)
+
+
 def refuse_copies(patches):
     patches.replace_function(
         admission_control.has_surely_not_run, lambda packet: True
@@ -456,6 +473,24 @@
         'a flood takes no room from other callers',
         draw_among_all,
     ),
+    (
+        'overload-usual',
+        0,
+        'sheds do not become the usual answers of a route',
+        keep_all_sheds,
+    ),
+    (
+        'overload-quick',
+        0,
+        'a short answer that is no quicker than usual is no shed',
+        count_late_sheds,
+    ),
+    (
+        'overload-habit',
+        0,
+        'answers that are short for good become the usual ones',
+        keep_no_shorts,
+    ),
     (
         'overload-copies',
         0,
--- a/features/proofs/overload_stories.py
+++ b/features/proofs/overload_stories.py
@@ -4,6 +4,10 @@
 with its guard and without it.
 """
 
+import random
+
+from cornelgap.decisions.overload import LOW
+from cornelgap.decisions.shed_answers import ShedAnswers
 from cornelgap.forwarding import admission_control
 from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding.packets import Forward, Reason, Reset
@@ -201,6 +205,63 @@
     return found[:1]
 
 
+def play_overload_mostly_sheds():
+    """Nineteen of twenty answers of a route are sheds, for long."""
+    rng = random.Random(1)
+    usual = ShedAnswers()
+    for _ in range(64):
+        usual.note_answer(rng.randint(500, 2000), 0.03)
+    missed = taken = 0
+    for number in range(2000):
+        if number % 20:
+            missed += not usual.note_answer(120, 0.006)
+        else:
+            taken += usual.note_answer(rng.randint(500, 2000), 0.1)
+    found = []
+    if missed > 50:
+        found.append(f'{missed} of 1900 sheds are taken for usual answers')
+    if taken:
+        found.append(f'{taken} whole answers are taken for sheds')
+    return found
+
+
+def play_overload_answers_vary():
+    """Whole answers differ as those of the platform's services do."""
+    found = []
+    for mean, spread in ((600, 0.6), (1000, 0.6), (20000, 0.7)):
+        rng = random.Random(mean)
+        usual = ShedAnswers()
+        taken = 0
+        for _ in range(4000):
+            size = mean * rng.lognormvariate(-spread * spread / 2, spread)
+            taken += usual.note_answer(130 + size, rng.uniform(0.01, 0.04))
+        if taken > 0.75 * LOW * 4000:
+            found.append(f'{taken} of 4000 answers of {mean} count as sheds')
+        sheds = sum(usual.note_answer(140, 0.008) for _ in range(100))
+        if sheds < 95:
+            found.append(f'{100 - sheds} sheds beside answers of {mean} pass')
+    return found
+
+
+def play_overload_shorter_answers():
+    """A route's answers are short from now on, and nobody is full."""
+    usual = ShedAnswers()
+    for _ in range(64):
+        usual.note_answer(4000, 0.03)
+    shorts = [usual.note_answer(100, 0.02) for _ in range(2000)]
+    return ['short answers count as sheds for good'] if shorts[-1] else []
+
+
+def play_overload_one_priority():
+    """All routes of a service have one priority."""
+    world = OverloadWorld()
+    world.press(USUAL, urgent=0)
+    world.run(2)
+    world.press(4, urgent=0)
+    world.run(ENDS_S - 2)
+    return judge_load(world)
+
+
 def play_overload_unnamed():
     """The routes name no priority: nothing is refused."""
     world = OverloadWorld(named=False)
