--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -9,6 +9,7 @@
     grey_stories,
     guards,
     lost_flow_stories,
+    overload_stories,
     part_stories,
     path_loss_stories,
     stories,
@@ -29,6 +30,7 @@
     lost_flow_stories,
     withdrawal_stories,
     path_loss_stories,
+    overload_stories,
 )
 
 
