--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -61,6 +61,8 @@
     NO_TARGET = 'no_target'
     WITHDRAWN = 'withdrawn'
     COLD_TARGETS = 'cold_targets'
+    OVERLOADED = 'overloaded'
+    COPY_OVERLOADED = 'copy_overloaded'
     TARGET_SILENT = 'target_silent'
     TARGET_GONE = 'target_gone'
     NOT_FRESH = 'not_fresh'
