Take signals in the main thread, also those of a paused process

Cause: a signal that comes while all threads are stopped may wake any of them. Python runs its handler in the main thread only, which slept on an event and never woke: an instance that was paused, asked to stop and continued never left and had to be killed. SIGHUP in the first 0.2 s of a process, before its handler was set, ended it.

Change: both signals are blocked before any other thread starts, SIGHUP before the program is loaded, and the main thread waits for them. A handler with a waiting time was ruled out: it may run while the main thread holds the lock of the event that it sets.

Nothing in the program can guard the interpreter's own start: SIGHUP about 50 ms after the start still ends it.

The scenarios of processes use a net of their own for each run: the port of the metrics is fixed, and two runs on one machine took it from each other.

--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -55,6 +55,11 @@
 ASK_S = 1.0
 """Longest wait for an actor's answer, seconds."""
 
+SIGNALS = (signal.SIGTERM, signal.SIGHUP)
+"""Signals of the platform.  All threads block them, so that they wait for the
+main one: one that comes while the process is stopped may else wake any
+thread, and its handler would run when the main one wakes, which is never."""
+
 CODEC = Codec(
     layout.decode_packet,
     layout.encode_forward,
@@ -188,11 +193,12 @@
         limit=RateFilter(LOG_LINES_PER_S),
     )
     node = Node.from_settings(settings, sock)
-    signal.signal(signal.SIGTERM, lambda *_: node.leaving.set())
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     node.start()
     _LOG.info('node: started', extra={'zone': settings.zone})
-    node.leaving.wait()
+    while signal.sigwait(SIGNALS) != signal.SIGTERM:
+        _LOG.info('node: settings have changed, used from the next start')
+    node.leaving.set()
     _LOG.info('node: leaving')
     node.leave()
     _LOG.info('node: ended')
--- a/cornelgap/platform/role.py
+++ b/cornelgap/platform/role.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import signal
 import sys
 
 from cornelgap.forwarding.sockets import open_socket
@@ -21,6 +22,9 @@
 
 def main():
     """Run one instance until SIGTERM."""
+    # New settings must not end a program that is still being loaded; the
+    # signal waits for the node.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
     settings, errors = load_node_settings(os.environ.get(VARIABLE, ''))
     for exc in errors:
         print(exc, file=sys.stderr)
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -21,6 +21,16 @@
     Then it ends by itself within its grace period
     And no flow was reset and every request was answered
 
+  Scenario: Instances that are paused are asked to stop meanwhile
+    Guards against a signal that wakes a thread which runs no handlers.
+    When all instances are paused, asked to stop and continued
+    Then all end by themselves within their grace period
+
+  Scenario: New settings are told to an instance that has just started
+    Guards against the signal's default, which ends the process.
+    When an instance starts and is told of new settings while it loads
+    Then it becomes ready
+
   Scenario: A killed instance takes no flow with it
     A machine loses power.  Its flows are on targets, and any other instance
     can carry their packets.
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -1,5 +1,6 @@
 """Steps that run the forwarding instances as processes over loopback."""
 
+import os
 import signal
 import socket
 import subprocess
@@ -8,6 +9,7 @@
 import threading
 import time
 from http.client import HTTPConnection
+from pathlib import Path
 
 from behave import given, then, when
 
@@ -22,12 +24,16 @@
     PacketWorld,
     Routers,
     ask_ready,
+    open_socket,
 )
 
 WAIT_S = 15
 GRACE_S = 6
-CALLERS_HOST = '127.0.0.2'
-HOSTS = ('127.0.0.11', '127.0.0.12', '127.0.0.13')
+# A net of its own: the port of the metrics is fixed, and an instance that
+# another run keeps from it is not whole.
+NET = f'127.{64 + os.getpid() % 128}.0'
+CALLERS_HOST = f'{NET}.2'
+HOSTS = (f'{NET}.11', f'{NET}.12', f'{NET}.13')
 ROUTE = parse_ip('198.18.0.1')
 PLACES = {'search': (ROUTE, 443), 'archive': (ROUTE, 80)}
 SERVICES = {1: 'search', 2: 'search', 3: 'archive', 4: 'archive'}
@@ -37,7 +43,7 @@
 ip = "{host}"
 zone = "a"
 internal_ports = [{inner}, {inner}]
-seeds = ["127.0.0.11:1", "127.0.0.12:1"]
+seeds = ["{net}.11:1", "{net}.12:1"]
 [listen]
 datagram_addr = "{host}:{packets}"
 ready = "{host}:{ready}"
@@ -81,7 +87,7 @@
 
 def start_instance(context, name):
     settings = SETTINGS.format(
-        name=name, host=context.hosts[name], **context.ports
+        name=name, host=context.hosts[name], net=NET, **context.ports
     )
     path = f'{context.folder}/{name}.toml'
     with open(path, 'w') as target:
@@ -120,7 +126,7 @@
         'store': server.server_address[1],
     }
     context.targets = {
-        number: PacketTarget(number, f'127.0.0.{20 + number}', packets)
+        number: PacketTarget(number, f'{NET}.{20 + number}', packets)
         for number in SERVICES
     }
     put_config(context, 'search', 'archive')
@@ -239,6 +245,55 @@
     strike(context, lambda: context.stopped.send_signal(signal.SIGTERM))
 
 
+@when('all instances are paused, asked to stop and continued')
+def stop_paused(context):
+    procs = context.procs.values()
+    for proc in procs:
+        proc.send_signal(signal.SIGSTOP)
+        status = Path(f'/proc/{proc.popen.pid}/status')
+        wait_for(
+            lambda path=status: 'State:\tT' in path.read_text(),
+            WAIT_S,
+            'it is paused',
+        )
+    for signum in (signal.SIGTERM, signal.SIGCONT):
+        for proc in procs:
+            proc.send_signal(signum)
+
+
+@then('all end by themselves within their grace period')
+def check_all_ended(context):
+    for proc in context.procs.values():
+        assert proc.popen.wait(GRACE_S) == 0
+
+
+@when('an instance starts and is told of new settings while it loads')
+def hang_up_young(context):
+    kill(context.procs['n1'])
+    start_instance(context, 'n1')
+    address = (HOSTS[0], context.ports['packets'])
+    wait_for(lambda: is_taken(address), WAIT_S, 'its socket is open')
+    context.procs['n1'].send_signal(signal.SIGHUP)
+
+
+def is_taken(address):
+    """Say whether somebody has a socket for datagrams at an address."""
+    try:
+        open_socket(address).close()
+    except OSError:
+        return True
+    return False
+
+
+@then('it becomes ready')
+def check_ready(context):
+    wait_for(
+        lambda: ask_ready((HOSTS[0], context.ports['ready'])),
+        WAIT_S,
+        'the instance is ready',
+    )
+
+
 @then('it ends by itself within its grace period')
 def check_ended(context):
     assert context.stopped.popen.wait(GRACE_S) == 0
--- a/standins/packet_ends.py
+++ b/standins/packet_ends.py
@@ -57,10 +57,10 @@
     :param callers_port: port at which callers get their packets.
     """
 
-    def __init__(self, number, host, callers_port, delay_s=0):
-        """Open the socket at a free port."""
+    def __init__(self, number, host, callers_port, delay_s=0, port=0):
+        """Open the socket, at a free port unless one is given."""
         self.number = number
-        self.sock = _open((host, 0))
+        self.sock = open_socket((host, port))
         self.address = self.sock.getsockname()
         self.flows = {}
         self.opened = 0
@@ -74,11 +74,12 @@
 
         :param later: function (time, call) for answers that take a while.
         """
-        for raw, _ in _drain(self.sock):
+        for raw, _ in drain_socket(self.sock):
             if not self.crashed:
-                self._take(raw, now, later)
+                self.take(raw, now, later)
 
-    def _take(self, datagram, now, later):
+    def take(self, datagram, now, later):
+        """Handle one datagram, unless it is not meant for this target."""
         meant = int.from_bytes(datagram[:8], 'big')
         raw = datagram[8:]
         if meant not in {0, self.number}:
@@ -159,10 +160,12 @@
 
     :ivar state: ``opening``, ``open``, ``failed`` or ``reset``.
     :ivar answers: what targets answered, in order.
+    :ivar sender: host that sent its last packet.
     """
 
     key: tuple
     state: str = 'opening'
+    sender: str = ''
     echo: int = 0
     seq: int = 1000
     ack: int = 0
@@ -182,7 +185,7 @@
 
     def __init__(self, address, routers, seed=1):
         """Open the socket."""
-        self.sock = _open(address)
+        self.sock = open_socket(address)
         self.flows = {}
         self._host = parse_ip(address[0])
         self._routers = routers
@@ -209,11 +212,12 @@
 
     def read(self, now):
         """Handle all packets that have come."""
-        for raw, _ in _drain(self.sock):
+        for raw, sender in drain_socket(self.sock):
             head = HEAD.unpack_from(raw)
             dport, source, destination, sport = head[:4]
             flow = self.flows.get((destination, dport, source, sport))
             if flow is not None and flow.state in {'opening', 'open'}:
+                flow.sender = sender[0]
                 self._handle(flow, head, raw[HEAD.size :], now)
 
     def tick(self, now):
@@ -319,14 +323,16 @@
         self.callers.tick(now)
 
 
-def _open(address):
+def open_socket(address):
+    """Open a socket for datagrams that never blocks."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind(address)
     sock.setblocking(False)
     return sock
 
 
-def _drain(sock):
+def drain_socket(sock):
+    """Yield tuples (datagram, sender's address) until none is left."""
     while True:
         try:
             yield sock.recvfrom(DATAGRAM_BYTES)
