--- a/features/steps/settings_reload_steps.py
+++ b/features/steps/settings_reload_steps.py
@@ -747,7 +747,10 @@
 
 def make_process_file(context, name, bound_ms, grace_s=6):
     text = processes.SETTINGS.format(
-        name=name, host=context.hosts[name], **context.ports
+        name=name,
+        host=context.hosts[name],
+        net=processes.NET,
+        **context.ports,
     )
     text = text.replace('_ms = 3000', f'_ms = {bound_ms}')
     return text.replace('grace_s = 6', f'grace_s = {grace_s}')
