Count no answer of a young instance, list the guards of overload

Sheds of the first second were left out of a decision but stayed in the tally, and counted once the second was over. The tally now begins then. Scenario 'All instances lose power' is red with YOUNG_S = 0 alone; its guard took out a second bound before.

--- a/cornelgap/decisions/overload.py
+++ b/cornelgap/decisions/overload.py
@@ -9,10 +9,10 @@
 An instance measures which share of the answers that pass here are sheds.
 Above :data:`HIGH` it cuts what it admits to what was served, least urgent
 priority first; below :data:`LOW` it raises it again, most urgent first, by
-what full targets have served beyond what they serve now.  A
-better priority is cut only by what it asks beyond the room by itself: worse
-requests on flows that are already open cannot be refused, and better ones
-must not make room for them.  Evidence counts from the last change on, so
+what full targets have served beyond what they serve now.  A better priority
+is cut only by what it asks beyond the room by itself: worse requests on
+flows that are already open cannot be refused, and better ones must not make
+room for them.  Evidence counts from the last change on, so
 that one overload is not answered twice, and a change follows what was
 measured: instances that act alone see the same share of sheds at the shared
 targets and cut by the same factor.
@@ -65,8 +65,8 @@
 
 YOUNG_S = 1.0
 """Time after a start or standstill in which sheds do not count.  Callers
-that waited in an outage return within one attempt, 1.4 s of which they
-spend half on copies; their rush is over before a gate would help."""
+that waited in an outage return with their next copy, 0.6 s later at most;
+their rush is over before a refusal would help."""
 
 
 class Tally(Struct):
@@ -176,15 +176,14 @@
         for priority, answers in tally.priorities.items()
     }
     found = dict(shares)
+    worst = max(shares)
     for priority in sorted(shares, reverse=True):
         share = shares[priority]
         left = room - sum(
             demand for other, demand in demands.items() if other < priority
         )
         answers = tally.priorities.get(priority, 0)
-        wanted = (
-            answers if priority == max(shares) else demands.get(priority, 0)
-        )
+        wanted = answers if priority == worst else demands.get(priority, 0)
         if answers and share > FLOOR and left < wanted:
             found[priority] = max(share * left / answers, FLOOR)
         if left > 0 and share > FLOOR:
@@ -275,9 +274,12 @@
         if now < self._step_at:
             return False
         self._step_at = now + STEP_S
+        if young:
+            self._before = self._now = Tally(now)
+            return False
         tally = self._sum()
         span_s = min(WINDOW_S, now - tally.since)
-        if young or (tally.answers < LEAST_ANSWERS and span_s < WINDOW_S):
+        if tally.answers < LEAST_ANSWERS and span_s < WINDOW_S:
             return False
         before, self.shares = self.shares, self._choose(tally, span_s)
         changed = self.shares != before
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -384,7 +384,6 @@
 
 def count_sheds_at_once(patches):
     patches.set_attr(admission_control, 'YOUNG_S', 0)
-    patches.set_attr(overload, 'SIGNS', 1)
 
 
 def believe_first_sign(patches):
