Build the node of the readiness test with the path of its settings

Cause: a node takes the path of its settings file since settings change while it runs; the scenario "Routers are told" still built one without and ended with a TypeError. The step passes none; what it checks is unchanged. Red before: withdrawal.feature "Routers are told" (error).

--- a/features/steps/withdrawal_steps.py
+++ b/features/steps/withdrawal_steps.py
@@ -169,7 +169,7 @@
 
 @given('an instance that is ready')
 def make_node(context):
-    context.node = Node(settings=None, sock=None)
+    context.node = Node(settings=None, sock=None, path=None)
     context.node.complete.set()
     check_readiness(context, 200)
 
