Drop old requests where they are counted, not with answers only

Cause: times of requests were dropped when a target answered; while nobody answered they were kept for as long as that lasted. Change: each request drops those that have left the window.

--- a/cornelgap/decisions/path_loss.py
+++ b/cornelgap/decisions/path_loss.py
@@ -46,6 +46,7 @@
     def note_request(self, now):
         """Note that a caller sent a request."""
         self._requests.append(now)
+        _drop_old(self._requests, now)
 
     def note_repeat(self, key, now):
         """Note that a caller repeated what it had sent to a target."""
--- a/features/path_loss.feature
+++ b/features/path_loss.feature
@@ -23,3 +23,9 @@
     When the proof story "full target" is played
     Then the proof checkers have no objection
     But they object once the guard "opening-silence" is taken out
+
+  Scenario: No target answers while callers go on
+    Guards against memory that grows for as long as nobody answers.
+    Given an instance to which 1000 requests a second come
+    When no target answers for 10 s
+    Then it keeps no more than 1 s of them
--- /dev/null
+++ b/features/steps/path_loss_steps.py
@@ -0,0 +1,62 @@
+"""Steps on what an instance keeps and counts of its own way."""
+
+from behave import given, then, when
+
+from cornelgap.decisions.path_loss import PathLoss
+
+TARGETS = 16
+
+
+class CountedKey(int):
+    """Name of a target that counts how often it was looked up."""
+
+    lookups = 0
+
+    def __hash__(self):
+        """Count one more look."""
+        CountedKey.lookups += 1
+        return super().__hash__()
+
+
+def count_kept(path):
+    """Return how many times and repeats are kept."""
+    repeats = sum(map(len, path._open_repeats.values()))
+    return len(path._requests) + len(path._lost) + repeats
+
+
+@given('an instance to which {per_s:d} requests a second come')
+def start_path(context, per_s):
+    context.per_s = per_s
+    context.path = PathLoss()
+    context.now = 100.0
+
+
+def send_requests(context, seconds, lost, answered):
+    """Send requests evenly to all targets.
+
+    :param lost: one of so many requests is repeated after 0.2 s.
+    :param answered: whether targets answer.
+    """
+    path = context.path
+    late_by = context.per_s // 5
+    for number in range(seconds * context.per_s):
+        context.now += 1 / context.per_s
+        path.note_request(context.now)
+        if number >= late_by and number % lost == 0:
+            key = CountedKey((number - late_by) % TARGETS)
+            path.note_repeat(key, context.now)
+        if answered:
+            key = CountedKey(number % TARGETS)
+            path.note_answer(key, context.now, context.now)
+
+
+@when('no target answers for {seconds:d} s')
+def send_unanswered(context, seconds):
+    send_requests(context, seconds, lost=1, answered=False)
+
+
+@then('it keeps no more than {seconds:d} s of them')
+def check_kept(context, seconds):
+    kept = count_kept(context.path)
+    # Requests and repeats; those of a target are dropped with its next one.
+    assert kept <= 2 * seconds * context.per_s + TARGETS, kept
