A stop does not wait for a look at the settings file

Cause: the main thread looked at the file and waited for SIGTERM by turns. A look that takes long (a huge file, a pipe or a hanging disk in its place) kept an instance that was asked to stop ready for routers, until it was killed at the end of its grace.

Change: the looks have a thread of their own; the main one waits for SIGTERM only, and wakes every 0.5 s for a signal that another thread got while the process was suspended (1 s before). An error in either thread ends the process, as before. Ruled out: an exception out of the handler, which could break off a step that holds a lock.

One line that explains an existing scenario names the process instead of the thread; its steps are as they were.

--- a/cornelgap/platform/node.py
+++ b/cornelgap/platform/node.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 import time
+from contextlib import contextmanager
 
 from cornelgap.decisions.cold_starts import ColdStarts
 from cornelgap.decisions.following import compute_wait
@@ -40,6 +41,7 @@
 from cornelgap.platform.keys import KEYS, CheckKey, KeyKeeper
 from cornelgap.platform.settings_watch import (
     SettingsWatch,
+    take_signals,
     watch_until_stopped,
 )
 from cornelgap.platform.sources import StoreSource
@@ -64,6 +66,10 @@
 METRICS_PORT = 9464
 """The port that is customary for exporters; deploy/system.toml names it."""
 
+STOP_S = 0.5
+"""Longest sleep of the main thread, which runs the signals' handlers: a
+signal that came while the process was suspended may wake another one."""
+
 ASK_S = 1.0
 """Longest wait for an actor's answer, seconds."""
 
@@ -220,6 +226,16 @@
     os._exit(EXIT_CRASHED)
 
 
+@contextmanager
+def end_if_crashed(name):
+    """End the process with a line if the thread's work raises."""
+    try:
+        yield
+    except Exception as exc:
+        report_crash(name, 'node', exc)
+        end_crashed('node')
+
+
 def _serve(server):
     threading.Thread(target=server.serve_forever, daemon=True).start()
 
@@ -240,19 +256,27 @@
     # A handler may interrupt any step of this thread, one that holds a lock
     # too; only this kind of queue allows for that.
     signals = queue.SimpleQueue()
+    stops = queue.SimpleQueue()
 
     def note_signal(number, _frame):
         signals.put(number)
+        if number == signal.SIGTERM:
+            stops.put(number)
 
     signal.signal(signal.SIGTERM, note_signal)
     signal.signal(signal.SIGHUP, note_signal)
-    try:
+
+    def watch():
+        with end_if_crashed(settings.name):
+            watch_until_stopped(signals, node.settings_watch.look)
+
+    with end_if_crashed(settings.name):
         node.start()
         _LOG.info('node: started', extra={'zone': settings.zone})
-        watch_until_stopped(signals, node.settings_watch.look)
-    except Exception as exc:
-        report_crash(settings.name, 'node', exc)
-        end_crashed('node')
+        # A look at the file may take long, and a stop must not wait for it.
+        threading.Thread(target=watch, daemon=True).start()
+        while not take_signals(stops, STOP_S):
+            pass
     node.leaving.set()
     _LOG.info('node: leaving')
     node.leave()
--- a/features/settings_reload.feature
+++ b/features/settings_reload.feature
@@ -183,6 +183,11 @@
     When a stop waits behind 5 signals of changed settings
     Then the file is not looked at any more
 
+  Scenario: A stop does not wait for a look that takes long
+    Guards against a huge file, or a pipe in its place, that keeps the
+    instance in rotation until it is killed.
+    Then a process that is stopped while a look hangs ends by itself
+
   Scenario: A signal while the program is loaded does not end it
     Guards against a start that dies of the signal's default action.
     Then a process that is signalled in its first steps goes on to its tasks
@@ -191,7 +196,7 @@
     Then hypothesis finds no sequence of files, looks and signals that does not
 
   Scenario: No file breaks the reading of settings
-    An error in it would end the thread that also waits for SIGTERM.
+    An error in it would end the process.
     Then hypothesis finds no value that raises an error of its own
 
   Scenario: Signals in quick succession while packets flow
--- a/features/steps/settings_reload_steps.py
+++ b/features/steps/settings_reload_steps.py
@@ -701,6 +701,25 @@
     assert not context.looks
 
 
+@then('a process that is stopped while a look hangs ends by itself')
+def check_hanging_look(context):
+    open_folder(context)
+    context.path.write_text(''.join(make_file()))
+    code = (
+        'import os, signal, threading\n'
+        'from cornelgap.platform import node, settings\n'
+        'path = os.environ["CORNELGAP_CONFIG"]\n'
+        'def look(*_, **__):\n'
+        '    os.kill(os.getpid(), signal.SIGTERM)\n'
+        '    threading.Event().wait()\n'
+        'node.SettingsWatch.look = look\n'
+        'node.Node.start = node.Node.leave = lambda _: None\n'
+        'node.run_node(settings.load_node_settings(path)[0], None, path)\n'
+    )
+    done = run_process(context, code)
+    assert b'node: ended' in done.stdout, done
+
+
 @then('a process that is signalled in its first steps goes on to its tasks')
 def check_start(context):
     open_folder(context)
