Take a noted base without an era for one of the era in force, in diff too

Cause: `apply` took a note that an earlier version had written for one of the era in force; `diff` compared it as it stood and warned of a restore that there was none of.

Change: the note is completed where it is read.

Result: 'A noted base without an era is one of the era in force' was red and is green; cfg_operators 29 scenarios green.

--- a/cornelgap/cfg/applying.py
+++ b/cornelgap/cfg/applying.py
@@ -102,9 +102,9 @@
     """
     if given is not None:
         return Stamp(in_force.era, given)
-    noted = read_noted_base(folder)
+    noted = read_noted_base(folder, in_force.era)
     if noted is not None:
-        return Stamp(noted.era or in_force.era, noted.revision)
+        return noted
     if not in_force.revision:
         return in_force
     raise CodedError(
@@ -114,18 +114,21 @@
     )
 
 
-def read_noted_base(folder):
+def read_noted_base(folder, era):
     """Read as what the folder was last applied.
 
-    :return: its :class:`~cornelgap.core.stamps.Stamp`, of era 0 if the note
-        names none; None if there is no note.
+    :param folder: the folder.
+    :param era: era in force, which a note without one is taken to be of.
+    :return: its :class:`~cornelgap.core.stamps.Stamp`, or None if there is
+        no note.
     """
     try:
         text = (Path(folder) / _BASE_FILE).read_text()
-        revision, *era = map(int, text.split())
-        return Stamp(*era, revision=revision)
+        revision, *eras = map(int, text.split())
+        noted = Stamp(*eras, revision=revision)
     except (OSError, TypeError, ValueError):
         return None
+    return Stamp(noted.era or era, revision)
 
 
 def note_base(folder, stamp):
--- a/cornelgap/operators/folder_commands.py
+++ b/cornelgap/operators/folder_commands.py
@@ -67,7 +67,7 @@
     print(f'{len(plan.changes)} changes on revision {plan.base.revision}')
     printing.print_changes(plan.changes, limit=len(plan.changes))
     printing.print_findings(plan.findings)
-    noted = applying.read_noted_base(folder)
+    noted = applying.read_noted_base(folder, plan.base.era)
     if noted not in {None, plan.base.stamp}:
         print(
             f'this folder was last applied as revision {noted.revision}'
--- a/features/cfg_operators.feature
+++ b/features/cfg_operators.feature
@@ -227,6 +227,13 @@
     When operator "amal" runs every cfg command
     Then no secret was printed
 
+  Scenario: A noted base without an era is one of the era in force
+    Guards against a warning of a restore that there was none of.
+    Given the cfg operator folder notes its base without an era
+    When operator "amal" runs "diff DIR"
+    Then the command exits with 0 and prints "0 changes on revision 2"
+    And it does not print "last applied"
+
   Scenario: A folder applied before a restore does not undo a reissued revision
     Guards against a noted base that is taken for another change of its number.
 
--- a/features/steps/cfg_operators_steps.py
+++ b/features/steps/cfg_operators_steps.py
@@ -135,6 +135,12 @@
     (context.folder / '.base-revision').unlink()
 
 
+@given('the cfg operator folder notes its base without an era')
+def shorten_base(context):
+    note = context.folder / '.base-revision'
+    note.write_text(note.read_text().split()[0])
+
+
 @given('the cfg operator folder holds a key of its own')
 def add_own_key(context):
     add_file(
@@ -192,6 +198,11 @@
     assert text in context.printed, context.printed
 
 
+@then('it does not print "{text}"')
+def check_not_printed(context, text):
+    assert text not in context.printed, context.printed
+
+
 @then('the cfg platform has revision {revision:d}')
 def check_platform(context, revision):
     _, value = context.state._objects['cfg/root']
