--- a/cornelgap/decisions/withdrawal.py
+++ b/cornelgap/decisions/withdrawal.py
@@ -174,7 +174,7 @@
         self.why = ''
         self.undecided = False
         self.totals = sum_sights(())
-        self._dark_since = None
+        self._unserved_since = None
         self._home = None
         self._returns = deque()
 
@@ -207,7 +207,7 @@
 
     def forget_evidence(self):
         """Forget since when the zone cannot serve, as another one decides."""
-        self._dark_since = None
+        self._unserved_since = None
         self.undecided = False
 
     def forget(self):
@@ -231,14 +231,14 @@
             self.totals, reports, situation.instances
         )
         if not (beyond and enough):
-            self._dark_since = None
+            self._unserved_since = None
             return False
-        if self._dark_since is None:
-            self._dark_since = now
-        dark_s = now - self._dark_since
+        if self._unserved_since is None:
+            self._unserved_since = now
+        unserved_s = now - self._unserved_since
         needed_s = self._compute_needed(now)
-        self.undecided = needed_s == EVIDENCE_S and dark_s < UNDECIDED_S
-        if dark_s < needed_s:
+        self.undecided = needed_s == EVIDENCE_S and unserved_s < UNDECIDED_S
+        if unserved_s < needed_s:
             return False
         return not _list_heard(situation, beyond, now - QUIET_S)
 
--- a/cornelgap/forwarding/zone_standing.py
+++ b/cornelgap/forwarding/zone_standing.py
@@ -105,7 +105,7 @@
         :returns: whether the hubs are to hear of it at once.
         """
         before, self._own = self._own, sight
-        return _is_dark(sight) and not _is_dark(before)
+        return _has_unserved(sight) and not _has_unserved(before)
 
     def take_view(self, view, now):
         """Take another picture of the directory."""
@@ -306,7 +306,7 @@
         )
 
 
-def _is_dark(sight):
+def _has_unserved(sight):
     return sight is not None and sight.unserved > 0
 
 
