--- a/cornelgap/cfg/store.py
+++ b/cornelgap/cfg/store.py
@@ -41,8 +41,8 @@
     """A stored value, and what a conditional write must name.
 
     :param version: number of the object's last change.
-    :param era: how often the store was restored from a backup, which may
-        reissue versions; 0 if the platform does not say.
+    :param era: number from 1 that rises when the store is restored from a
+        backup, which reissues versions; 0 if the platform does not say.
     """
 
     version: int
--- a/cornelgap/core/stamps.py
+++ b/cornelgap/core/stamps.py
@@ -12,7 +12,8 @@
 class Stamp(Struct, frozen=True, order=True):
     """Place of a fact in the store's history; later ones compare greater.
 
-    :param era: how often the store was restored from a backup.
+    :param era: number from 1 that rises when the store is restored from a
+        backup; 0 if the store does not say.
     :param revision: number of the change within the era.
     """
 
--- a/cornelgap/entry/metric_list.py
+++ b/cornelgap/entry/metric_list.py
@@ -156,7 +156,7 @@
     Metric(
         _PREFIX + 'cfg_era',
         GAUGE,
-        'Restores of the store from a backup, as of which it was read.',
+        'Era of the platform store as of which it was read; 0 if unknown.',
     ),
     Metric(_PREFIX + 'flows', GAUGE, 'Flows whose home is here.'),
     Metric(_PREFIX + 'feeds', GAUGE, 'Live feeds here.'),
--- a/standins/platform_state.py
+++ b/standins/platform_state.py
@@ -48,7 +48,7 @@
     """Objects, watches and instances behind one lock.
 
     :ivar faults: wire ``Faults`` in force; set by :meth:`set_faults`.
-    :ivar era: how often it was restored from a backup, from 1.
+    :ivar era: number from 1 that rises when it is restored from a backup.
     """
 
     def __init__(self, expiry_s=_EXPIRY_S, clock=time.monotonic):
