--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -150,7 +150,18 @@
 """Values that a beat leaves out, as its defaults say the same."""
 
 _NO_NUMBERS = (AttributeError, ArithmeticError, TypeError, ValueError)
-_MALFORMED = (zlib.error, AttributeError, KeyError, TypeError, ValueError)
+_MALFORMED = (
+    zlib.error,
+    ArithmeticError,
+    AttributeError,
+    KeyError,
+    TypeError,
+    ValueError,
+)
+STANDING_LIMIT = 2**32
+"""Bound of what is told of a zone's standing, counts and milliseconds.  An
+age below zero would keep a verdict from ever lapsing."""
+
 _NUMBERS = (
     'boot',
     'capacity',
@@ -399,7 +410,7 @@
 
 def _load_withdrawal(content):
     found = tuple(map(int, content.get('withdrawal', ())))
-    if found and len(found) != 3:
+    if found and not _is_standing_row(found):
         raise ValueError(found)
     return found
 
@@ -508,7 +519,14 @@
 def _is_standing(beat):
     counts = (beat.openings, beat.withdrawal)
     return _are_texts(beat.beyond) and all(
-        found == [] or _are_rows([found], 3) for found in counts
+        found == [] or (_are_rows([found], 3) and _is_standing_row(found))
+        for found in counts
+    )
+
+
+def _is_standing_row(found):
+    return len(found) == 3 and all(
+        0 <= number < STANDING_LIMIT for number in found
     )
 
 
--- a/cornelgap/forwarding/zone_standing.py
+++ b/cornelgap/forwarding/zone_standing.py
@@ -193,7 +193,7 @@
         elif withdrawal.withdrawn or told_s < TOLD_S:
             parts['withdrawal'] = [
                 int(withdrawal.withdrawn),
-                round(told_s * 1000),
+                max(0, round(told_s * 1000)),
                 max(0, round((now - self._confirmed_at) * 1000)),
             ]
         if withdrawal.withdrawn:
--- a/features/steps/withdrawal_steps.py
+++ b/features/steps/withdrawal_steps.py
@@ -17,6 +17,7 @@
 )
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.platform.node import Node
+from features.proofs.forwarding_desk import Desk, make_route, make_target
 
 TICK_S = 0.25
 KEY = b'key of a test fleet'
@@ -154,17 +155,42 @@
     assert context.verdict.withdrawn, context.verdict.totals
 
 
-@then('a beat with the withdrawal "{text}" is refused with "{code}"')
-def check_refused(context, text, code):
-    content = {'name': 'n1', 'zone': 'b', 'host': 'h', 'boot': 1}
-    content['withdrawal'] = json.loads(text)
-    raw = peers.seal(json.dumps(content).encode(), KEY)
+def make_directory():
+    """Make a directory that a snapshot can be made of."""
+    desk = Desk()
+    desk.set_routes(make_route('search'))
+    desk.set_targets(make_target(1))
+    return desk.directory
+
+
+def check_code(code, read, raw):
     try:
-        peers.decode_beat(raw, KEY)
+        read(raw)
     except CodedError as exc:
         assert str(exc.code) == code, exc
     else:
-        raise AssertionError('the beat was taken')
+        raise AssertionError('it was taken')
+
+
+@then('a beat with the {field} "{text}" is refused with "{code}"')
+def check_refused(context, field, text, code):
+    content = {'name': 'n1', 'zone': 'b', 'host': 'h', 'boot': 1}
+    content[field] = json.loads(text)
+    raw = peers.seal(json.dumps(content).encode(), KEY)
+    check_code(code, lambda sealed: peers.decode_beat(sealed, KEY), raw)
+
+
+@then('a beat with a withdrawal 1e{digits:d} ms ago is refused with "{code}"')
+def check_age_refused(context, digits, code):
+    check_refused(context, 'withdrawal', f'[1, 1{"0" * digits}, 0]', code)
+
+
+@then('a snapshot with the withdrawal "{text}" is refused with "{code}"')
+def check_snapshot_refused(context, text, code):
+    raw = peers.pack_snapshot(
+        make_directory(), 101, KEY, withdrawal=json.loads(text)
+    )
+    check_code(code, lambda told: peers.unpack_snapshot(told, 101, KEY), raw)
 
 
 @given('an instance that is ready')
--- a/features/withdrawal.feature
+++ b/features/withdrawal.feature
@@ -145,6 +145,12 @@
     Then a beat with the withdrawal "[1, 2]" is refused with "PKT-007"
     And a beat with the withdrawal "[1, 2, null]" is refused with "PKT-007"
     And a beat with the withdrawal "{}" is refused with "PKT-007"
+    And a beat with the withdrawal "[1, 2, -3000]" is refused with "PKT-007"
+    And a beat with the withdrawal "[1, 2, 1e400]" is refused with "PKT-007"
+    And a beat with a withdrawal 1e400 ms ago is refused with "PKT-007"
+    And a snapshot with the withdrawal "[1, 2, -3000]" is refused with "PKT-007"
+    And a snapshot with the withdrawal "[1, 2, 1e400]" is refused with "PKT-007"
+    And a beat with the openings "[0, 20, -30]" is refused with "PKT-007"
 
   Scenario: Routers are told
     Guards against a verdict that readiness does not follow.
