Reopen the gate beside errors once targets have room

Between the two bounds of sheds nothing moved, and one shed in a step held the raise to a tenth. A service that answers a few of a hundred requests with errors, which look like sheds, kept its openings refused long after an overload. Targets that serve less than half of what full ones served have room: then shares rise by what was served beyond, whatever short answers remain.

OverloadWorld takes the share of errors as a parameter, the old half as its default.

--- a/cornelgap/decisions/overload.py
+++ b/cornelgap/decisions/overload.py
@@ -60,6 +60,10 @@
 serve more than when they were last full.  Twice as much for the next
 better priority, which takes its room from the worst one."""
 
+BUSY = 0.5
+"""Part of what full targets have served below which they have room, whatever
+short answers remain: these are errors, and would keep the gate closed."""
+
 TRIES = 3
 """Times that callers try a request, which is shed or refused, at once."""
 
@@ -311,9 +315,10 @@
             self._room_per_s = (answers - sheds) / span_s
             return cut_shares(self.shares, tally)
         self._signs = 0
-        if self.shed_share < low or not spread:
-            room = self._room_per_s * span_s
-            spare = 0 if sheds else max(0, room - answers)
+        room = self._room_per_s * span_s
+        busy = answers - sheds >= BUSY * room
+        if self.shed_share < low or not spread or not busy:
+            spare = 0 if sheds and busy else max(0, room - answers)
             return raise_shares(self.shares, tally.offered, spare)
         return self.shares
 
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -80,6 +80,12 @@
     Then the proof checkers have no objection
     But they object once the guard "overload-spread" is taken out
 
+  Scenario: An overload ends while targets answer errors
+    A few errors among all answers must not hold what is admitted down.
+    When the proof story "overload ends in errors" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-busy" is taken out
+
   Scenario: Callers ask for nearly all that the targets serve
     When the proof story "overload room" is played
     Then the proof checkers have no objection
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -395,6 +395,10 @@
     )
 
 
+def wait_for_no_errors(patches):
+    patches.set_attr(overload, 'BUSY', 0)
+
+
 def count_sheds_at_once(patches):
     patches.set_attr(admission_control, 'YOUNG_S', 0)
 
@@ -461,6 +465,12 @@
         'sheds of few targets refuse nothing',
         count_sheds_of_few,
     ),
+    (
+        'overload-busy',
+        0,
+        'errors of targets that are not full keep nothing closed',
+        wait_for_no_errors,
+    ),
     (
         'overload-young',
         0,
--- a/features/proofs/overload_stories.py
+++ b/features/proofs/overload_stories.py
@@ -143,6 +143,22 @@
     return ['openings are refused'] if world.refused else []
 
 
+def play_overload_ends_in_errors():
+    """An overload ends; a tenth of the answers are errors, as before it."""
+    world = OverloadWorld(failing=8, errors=0.09)
+    world.press(USUAL)
+    world.run(2)
+    world.press(6)
+    world.run(3)
+    world.press(USUAL)
+    world.run(6)
+    came = world.count(world.came, 7, 11)
+    served = world.count(world.served, 7, 11)
+    if served < 0.95 * came:
+        return [f'{served} of {came} requests are served afterwards']
+    return []
+
+
 def play_overload_room():
     """Callers ask for nearly all that the targets serve."""
     world = OverloadWorld()
--- a/features/proofs/overload_world.py
+++ b/features/proofs/overload_world.py
@@ -60,7 +60,8 @@
 class OverloadWorld:
     """Instances, targets and callers.
 
-    :param failing: targets that answer each second request with an error.
+    :param failing: targets that answer requests with errors.
+    :param errors: share of their requests that they answer so.
     :param named: whether the routes name priorities.
     :ivar rates: tuple (requests a second of one account, accounts) by
         priority.
@@ -72,13 +73,22 @@
     :ivar told: what each instance tells operators.
     """
 
-    def __init__(self, instances=3, targets=8, failing=0, named=True, seed=1):
+    def __init__(
+        self,
+        instances=3,
+        targets=8,
+        failing=0,
+        errors=0.5,
+        named=True,
+        seed=1,
+    ):
         """Start all instances; they know all targets."""
         self._named = named
         self.rng = random.Random(seed)
         self.targets = [make_target(one) for one in range(1, targets + 1)]
         self._servers = {one.cookie: Server() for one in self.targets}
         self._failing = {one.cookie for one in self.targets[:failing]}
+        self._errors = errors
         self._instances = instances
         self.now = self.began_at = 100
         self.desks = [self._start_desk(one) for one in range(instances)]
@@ -222,7 +232,7 @@
         self._put(desk, flow, pkt.ACK, cookie=cookie, ack=1, size=100)
         server = self._servers[cookie]
         job = (request, desk, flow, cookie)
-        if cookie in self._failing and self.rng.random() < 0.5:
+        if cookie in self._failing and self.rng.random() < self._errors:
             self._at(TRIP_S, self._end, *job, SHED_BYTES)
         elif server.busy < SLOTS:
             self._serve(server, job)
