Tell the end of an overload that a configuration ends

A configuration that drops the priorities whose openings are refused ends the refusals between two steps. The step that follows saw no change, so operators never heard of the end, and the next overload began as one that "lasts". A step now also tells where refusals have ended since the last one.

Measured: features/overload.feature "A configuration drops the route whose openings are refused" was red before ("operators are told of []") and is green; the features of overload and of forwarding pass.

--- a/cornelgap/forwarding/admission_control.py
+++ b/cornelgap/forwarding/admission_control.py
@@ -155,7 +155,10 @@
         young = self._began_at is None or now - self._began_at < YOUNG_S
         told = []
         for name, service in self._services.items():
-            if service.gate.step(now, young):
+            changed = service.gate.step(now, young)
+            # A configuration without the limited priorities ends it, too.
+            ended = name in self._told and not service.gate.limited
+            if changed or ended:
                 limited = sum(
                     callers.limited for callers in service.callers.values()
                 )
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -58,6 +58,11 @@
     When the proof story "overload ends" is played
     Then the proof checkers have no objection
 
+  Scenario: A configuration drops the route whose openings are refused
+    Operators must not wait for the end of an overload that is over.
+    When the proof story "overload route dropped" is played
+    Then the proof checkers have no objection
+
   Scenario: Operators see what is admitted
     Then the page of metrics shows the admitted share of each priority
 
--- a/features/proofs/overload_stories.py
+++ b/features/proofs/overload_stories.py
@@ -10,8 +10,9 @@
 from cornelgap.decisions.shed_answers import ShedAnswers
 from cornelgap.forwarding import admission_control
 from cornelgap.forwarding import packets as pkt
+from cornelgap.forwarding.directory_view import RequestPolicy, Route
 from cornelgap.forwarding.packets import Forward, Reason, Reset
-from features.proofs.forwarding_desk import make_packet
+from features.proofs.forwarding_desk import ADDRESS, make_packet
 from features.proofs.overload_world import URGENT, WORST, OverloadWorld
 
 USUAL = 0.5
@@ -135,6 +136,28 @@
     return found
 
 
+def play_overload_route_dropped():
+    """A configuration drops the only route whose openings are refused."""
+    world = play_load(2, 3)
+    desk = world.desks[0]
+    desk.set_routes(
+        Route(
+            'r-urgent',
+            ADDRESS,
+            443,
+            (('search', 1),),
+            RequestPolicy(URGENT),
+        )
+    )
+    states = [
+        line['state'] for line in desk.engine.admission.step(desk.now + 1)
+    ]
+    states += [
+        line['state'] for line in desk.engine.admission.step(desk.now + 2)
+    ]
+    return [] if states == ['ends'] else [f'operators are told of {states}']
+
+
 def play_overload_failing_minority():
     """A fifth of the targets answers errors to half of what they get."""
     world = OverloadWorld(targets=10, failing=2)
