Forget the evidence of a dark zone after a standstill

Cause: half a second of evidence was measured between two decisions, however long the process stood still between them; the only instance of a zone that woke up withdrew it at once. Change: evidence of before a gap longer than the counted span is forgotten. Result: the scenario is red without the guard.

--- a/cornelgap/decisions/withdrawal.py
+++ b/cornelgap/decisions/withdrawal.py
@@ -175,6 +175,7 @@
         self.undecided = False
         self.totals = sum_sights(())
         self._unserved_since = None
+        self._decided_at = float('-inf')
         self._home = None
         self._returns = deque()
 
@@ -186,6 +187,7 @@
         """
         self.totals = sum_sights(situation.sights.values())
         self.undecided = False
+        self._note_turn(now)
         if self.withdrawn:
             why = self._find_return(situation, now)
             if why:
@@ -217,6 +219,12 @@
         self.why = 'unconfirmed'
         self.forget_evidence()
 
+    def _note_turn(self, now):
+        """Forget the evidence of before a standstill of the process."""
+        if now - self._decided_at > SPAN_S:
+            self.forget_evidence()
+        self._decided_at = now
+
     def _change(self, withdrawn, changed_at, why):
         if self.withdrawn and not withdrawn:
             self._returns.append(changed_at)
--- a/features/proofs/withdrawal_guards.py
+++ b/features/proofs/withdrawal_guards.py
@@ -6,6 +6,12 @@
 from cornelgap.forwarding import openings, zone_standing
 
 
+def keep_old_evidence(patches):
+    patches.set_attr(
+        withdrawal.Withdrawal, '_note_turn', lambda self, now: None
+    )
+
+
 def stay_in_rotation(patches):
     patches.replace_function(withdrawal.outweighs, lambda totals: False)
 
@@ -155,6 +161,12 @@
         'a cut that comes and goes does not make routers swap',
         forget_returns,
     ),
+    (
+        'withdrawal-turns',
+        7,
+        'evidence of before a standstill makes no zone leave',
+        keep_old_evidence,
+    ),
     (
         'home-targets',
         15,
--- a/features/withdrawal.feature
+++ b/features/withdrawal.feature
@@ -140,6 +140,12 @@
     Then hypothesis finds no sequence after which a zone is out and none serves
     And hypothesis finds no minute with more than 14 changes
 
+  Scenario: An instance stands still while it looks whether its zone serves
+    Guards against a verdict on evidence that no tick in between has confirmed.
+    When the proof story "withdrawn standstill" is played
+    Then the proof checkers have no objection
+    But they object once the guard "withdrawal-turns" is taken out
+
   Scenario: A beat with a bent verdict is refused
     Guards against an error that ends the directory task of every instance.
     Then a beat with the withdrawal "[1, 2]" is refused with "PKT-007"
