Give no target up on silence while targets are known to shed

Change: while admission limits a service, repeats keep new flows away but do not speak against open flows, except to a zone that is away.

Result: the scenario is red without its guard.

--- a/cornelgap/forwarding/admission_control.py
+++ b/cornelgap/forwarding/admission_control.py
@@ -166,6 +166,11 @@
                 told.extend(self._list_news(name, service, limited))
         return told
 
+    @property
+    def limited(self):
+        """Say whether openings of any service may be refused."""
+        return any(one.gate.limited for one in self._services.values())
+
     def read_shares(self):
         """Return the admitted share by service and priority, as text."""
         return {
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -233,6 +233,15 @@
         """Return the :class:`~cornelgap.decisions.withdrawal.Sight` of now."""
         return self.openings.make_sight(self.view, self.flows.loads, now)
 
+    def step_admission(self, now):
+        """Change what is admitted by what was seen.
+
+        :returns: what is to be told of services, :class:`dict` of fields.
+        """
+        told = self.admission.step(now)
+        self.judge.overloaded = self.admission.limited
+        return told
+
     def expire(self, now):
         """Forget flows that were not seen lately."""
         self.flows.expire(now)
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -426,7 +426,7 @@
         self._tell(news)
 
     def _step_admission(self):
-        for fields in self._engine.admission.step(self._turn_at):
+        for fields in self._engine.step_admission(self._turn_at):
             _LOG.warning('forwarding: overload of a service', extra=fields)
 
     def _give_counts(self, _message):
--- a/cornelgap/forwarding/target_judge.py
+++ b/cornelgap/forwarding/target_judge.py
@@ -77,6 +77,8 @@
     """Judges targets by cookie and zones by name.
 
     :ivar silent: cookies of the targets that were given up last.
+    :ivar overloaded: whether targets are known to shed; full ones are silent,
+        and links beside them lose packets.
     """
 
     def __init__(self):
@@ -89,6 +91,7 @@
         self._outcomes = {}
         self._began_at = None
         self.silent = frozenset()
+        self.overloaded = False
 
     def set_instances(self, count, rank):
         """Note how many instances the zone has, this one included.
@@ -287,7 +290,8 @@
             if again:
                 self._reach.note_repeat(target.zone, cookie, flow[0], now)
             away = self._is_surely_away(target.zone, now)
-        return self._health.note_repeat(cookie, flow, now, again, away, opening)
+        weak = is_weak(opening, self.overloaded, away)
+        return self._health.note_repeat(cookie, flow, now, again, away, weak)
 
     def _is_surely_away(self, zone, now):
         """Say whether a zone is away by more than the repeats of a start.
@@ -303,3 +307,13 @@
 
     def _is_young(self, now):
         return self._began_at is None or now - self._began_at < YOUNG_S
+
+
+def is_weak(opening, overloaded, away):
+    """Say whether a repeat says nothing of its target's open flows.
+
+    :param opening: whether it asks for a flow that is not open yet.
+    :param overloaded: whether targets are known to shed.
+    :param away: whether the target's whole zone is out of reach.
+    """
+    return opening or (overloaded and not away)
--- a/features/path_loss.feature
+++ b/features/path_loss.feature
@@ -24,6 +24,12 @@
     Then the proof checkers have no objection
     But they object once the guard "long-work" is taken out
 
+  Scenario: Requests are lost while targets are known to shed
+    Guards against giving up a target on what too much load explains as well.
+    When the proof story "silence under overload" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-doubt" is taken out
+
   Scenario: A full target answers no opening
     Guards against taking a full target for a crashed one.
     When the proof story "full target" is played
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -386,6 +386,12 @@
     patches.set_attr(path_loss, 'LEAST_SURE', 0)
 
 
+def weigh_all_repeats(patches):
+    patches.replace_function(
+        target_judge.is_weak, lambda opening, overloaded, away: opening
+    )
+
+
 def weigh_openings(patches):
     patches.set_attr(flow_health, 'OPENING_WEIGHT', flow_health.SECOND_WEIGHT)
 
@@ -862,6 +868,12 @@
         'first repeats alone may be due to work that takes long',
         blame_way_for_work,
     ),
+    (
+        'overload-doubt',
+        14,
+        'silence under a known overload gives no target up',
+        weigh_all_repeats,
+    ),
     (
         'opening-silence',
         14,
--- a/features/proofs/path_loss_stories.py
+++ b/features/proofs/path_loss_stories.py
@@ -8,7 +8,12 @@
 
 from cornelgap.forwarding.packets import Reset
 from features.proofs.forwarding_desk import Desk, make_route, make_target
-from features.proofs.lost_flow_stories import list_reset, tell_evidence
+from features.proofs.lost_flow_stories import (
+    list_reset,
+    send_busy,
+    start_desk,
+    tell_evidence,
+)
 
 TARGETS = tuple(make_target(number) for number in range(1, 13))
 FLOWS = 3
@@ -207,3 +212,14 @@
         if crashed.name in desk.engine.name_silent():
             return []
     return ['a crashed target is trusted until its registration lapses']
+
+
+def play_silence_under_overload():
+    """Targets shed, and requests to one of them are lost on full links."""
+    desk = start_desk()
+    desk.engine.judge.overloaded = True
+    desk.pass_time(2)
+    send_busy(desk)
+    desk.engine.judge.overloaded = False
+    reset = list_reset(desk)
+    return ['flows were reset on what too much load explains'] if reset else []
