--- a/cornelgap/decisions/path_loss.py
+++ b/cornelgap/decisions/path_loss.py
@@ -11,7 +11,9 @@
 all requests needs them, at several targets, the cause is what these have in
 common.  Work that takes longer than a caller waits brings a first repeat,
 too; but a live target confirms that one at once, so a second one, or an
-answer long after it, speaks of the way.  A target that has crashed answers no repeat and changes nothing here; what
+answer long after it, speaks of the way.
+
+A target that has crashed answers no repeat and changes nothing here.  What
 callers repeat to a zone that is cut off is answered when it is back, and says
 nothing of the way here.
 """
