Tell errors of all targets from sheds

Cause: an error is as short and quick as "not run" and counted as a shed. The effect of a cut was never looked at, so each cut was followed by the next one; the rule that reopens beside errors is asked below the bound of a cut only.

Evidence: the decisions of the story, step by step. The part of short answers is 0.37 to 0.48 before the first cut and 0.46 to 0.58 after it and the next ones, what is served falls with each, and 75 of 77 whole answers come as soon as usual.

Change: two cuts in a row that leave the part of short answers as it was, while less is served, show errors, unless whole answers of the same targets are late. The share of errors by priority is then taken off before anything is cut. A cut leaves a fourth of a share at least, so that enough answers are left to show its effect.

Tried and taken back: the wait of whole answers alone (a new instance, six times the load and one priority red), the cuts alone (a new instance red).

New scenarios: errors of 0.2, 0.5 and 0.9, of one route, at a start, and in an overload.

--- a/cornelgap/decisions/overload.py
+++ b/cornelgap/decisions/overload.py
@@ -18,10 +18,12 @@
 targets and cut by the same factor.
 
 Sheds of a minority of the targets close nothing.  Without this a few
-targets that answer errors would turn callers away from all others.
+targets that answer errors would turn callers away from all others.  Errors
+of all targets look like sheds, too; ``error_shares`` tells them apart.
 """
 
-from msgspec import Struct, field
+from cornelgap.decisions.answer_tally import Tally
+from cornelgap.decisions.error_shares import CutSeries, ErrorShares, are_late
 
 WINDOW_S = 1.0
 """Age up to which answers count."""
@@ -54,6 +56,10 @@
 """Share of a priority that is always admitted.  A caller of the least urgent
 one gets through now and then, and answers show when there is room."""
 
+LEAST_KEPT = 0.25
+"""Part of a share that a cut leaves at least.  Enough answers must be left
+to show what the cut has changed."""
+
 RAISE = 0.02
 GROWTH = 0.1
 """Least step up, and step up as a part of the present share: targets may
@@ -64,6 +70,11 @@
 """Part of what full targets have served below which they have room, whatever
 short answers remain: these are errors, and would keep the gate closed."""
 
+ROOM_GROWTH = 0.5
+"""Step up as a part of what is served, where targets that fail requests have
+room: no cut can make their errors fewer.  They may be full after two such
+steps."""
+
 TRIES = 3
 """Times that callers try a request, which is shed or refused, at once."""
 
@@ -73,60 +84,6 @@
 their rush is over before a refusal would help."""
 
 
-class Tally(Struct):
-    """Answers that were seen since some time.
-
-    :param targets: lists [answers, sheds] by target.
-    :param priorities: answers by priority.
-    :param offered: openings by priority, refused ones too; counted while
-        any may be refused.
-    """
-
-    since: float
-    targets: dict = field(default_factory=dict)
-    priorities: dict = field(default_factory=dict)
-    offered: dict = field(default_factory=dict)
-
-    @property
-    def answers(self):
-        """Return the number of answers."""
-        return sum(self.priorities.values())
-
-    @property
-    def sheds(self):
-        """Return the number of sheds among them."""
-        return sum(sheds for _, sheds in self.targets.values())
-
-    def add(self, target, priority, shed):
-        """Count one answer.
-
-        :param shed: whether the target had no room for the request.
-        """
-        counts = self.targets.setdefault(target, [0, 0])
-        counts[0] += 1
-        counts[1] += shed
-        self.priorities[priority] = self.priorities.get(priority, 0) + 1
-
-    def add_opening(self, priority):
-        """Count one opening."""
-        self.offered[priority] = self.offered.get(priority, 0) + 1
-
-    def merge(self, other):
-        """Add what was seen in another time."""
-        for target, (answers, sheds) in other.targets.items():
-            counts = self.targets.setdefault(target, [0, 0])
-            counts[0] += answers
-            counts[1] += sheds
-        for name in ('priorities', 'offered'):
-            own = getattr(self, name)
-            for priority, number in getattr(other, name).items():
-                own[priority] = own.get(priority, 0) + number
-
-    def count_shedding(self):
-        """Return the number of targets that have shed."""
-        return sum(sheds > 0 for _, sheds in self.targets.values())
-
-
 def is_spread(sheds, shedding, targets):
     """Say whether sheds are spread over a majority of the targets.
 
@@ -189,7 +146,8 @@
         answers = tally.priorities.get(priority, 0)
         wanted = answers if priority == worst else demands.get(priority, 0)
         if answers and share > FLOOR and left < wanted:
-            found[priority] = max(share * left / answers, FLOOR)
+            kept = max(left / answers, LEAST_KEPT)
+            found[priority] = max(share * kept, FLOOR)
         if left > 0 and share > FLOOR:
             break
         # Requests on open flows pass in any case; better ones are not cut
@@ -231,7 +189,10 @@
     :param priorities: of the service's requests.
     :ivar shares: admitted share by priority; all 1 while there is room.
     :ivar began_at: when the present overload began, None without one.
-    :ivar shed_share: share of sheds at the last change.
+    :ivar shed_share: share of sheds at the last decision, without errors.
+    :ivar calm: whether targets had room at the last decision.
+    :ivar failing: whether short answers were errors then, of targets that
+        had room.
     """
 
     def __init__(self, priorities):
@@ -239,8 +200,11 @@
         self.shares = dict.fromkeys(priorities, 1)
         self.began_at = None
         self.shed_share = 0
+        self.calm = self.failing = False
         self._signs = 0
         self._room_per_s = 0
+        self._errors = ErrorShares()
+        self._cuts = None
         self._step_at = float('-inf')
         self._before = self._now = Tally(float('-inf'))
 
@@ -258,12 +222,16 @@
         self.shares = {name: self.shares.get(name, 1) for name in priorities}
         self._note_end()
 
-    def note_answer(self, target, priority, shed, answered_at):
-        """Count an answer, unless it is older than the last change."""
+    def note_answer(self, target, priority, shed, answered_at, prompt=None):
+        """Count an answer, unless it is older than the last change.
+
+        :param prompt: whether it came as soon as from a target with room;
+            None if that is not known.
+        """
         if answered_at >= self._now.since:
-            self._now.add(target, priority, shed)
+            self._now.add(target, priority, shed, prompt)
         elif answered_at >= self._before.since:
-            self._before.add(target, priority, shed)
+            self._before.add(target, priority, shed, prompt)
 
     def note_opening(self, priority):
         """Count an opening, admitted or not."""
@@ -285,7 +253,7 @@
         span_s = min(WINDOW_S, now - tally.since)
         if tally.answers < LEAST_ANSWERS and span_s < WINDOW_S:
             return False
-        before, self.shares = self.shares, self._choose(tally, span_s)
+        before, self.shares = self.shares, self._choose(tally, span_s, now)
         changed = self.shares != before
         if changed:
             self._note_change(now)
@@ -303,25 +271,57 @@
         found.merge(self._now)
         return found
 
-    def _choose(self, tally, span_s):
-        sheds, answers = tally.sheds, tally.answers
-        self.shed_share = sheds / max(1, answers)
-        spread = is_spread(sheds, tally.count_shedding(), len(tally.targets))
+    def _choose(self, tally, span_s, now):
+        short_share = tally.sheds / max(1, tally.answers)
+        self.failing = self._is_failing(tally, span_s, now)
+        if self.failing:
+            self._errors.measure(tally, now)
+        self.calm = self.failing or (not self.limited and short_share < HIGH)
+        rest = self._errors.take_off(tally, self.failing, now)
+        self.shed_share = rest.sheds / max(1, rest.answers)
         low, high = find_bounds(self.shares)
-        if self.shed_share > high and sheds >= LEAST_SHEDS and spread:
-            self._signs += 1
-            if self._suspected:
-                return self.shares
-            self._room_per_s = (answers - sheds) / span_s
-            return cut_shares(self.shares, tally)
+        spread = is_spread(rest.sheds, rest.count_shedding(), len(rest.targets))
+        many = self.shed_share > high and rest.sheds >= LEAST_SHEDS
+        if many and spread:
+            return self._choose_less(rest, span_s)
         self._signs = 0
+        if self.shed_share < low:
+            self._cuts = None
         room = self._room_per_s * span_s
-        busy = answers - sheds >= BUSY * room
+        busy = tally.served >= BUSY * room
+        if self.failing and short_share >= low:
+            spare = max(room - rest.answers, ROOM_GROWTH * rest.answers)
+            # So many openings are needed for one that does not fail.
+            spare *= tally.answers / max(1, rest.answers)
+            return raise_shares(self.shares, tally.offered, spare)
         if self.shed_share < low or not spread or not busy:
-            spare = 0 if sheds and busy else max(0, room - answers)
+            spare = 0 if rest.sheds and busy else max(0, room - rest.answers)
             return raise_shares(self.shares, tally.offered, spare)
         return self.shares
 
+    def _is_failing(self, tally, span_s, now):
+        """Say whether the short answers are errors of targets with room."""
+        if are_late(tally):
+            self._cuts = None
+        if not tally.sheds or are_late(tally):
+            return False
+        if self._cuts is not None and self._cuts.shows_room(tally, span_s):
+            self._errors.note_shown(now)
+            self._room_per_s = self._cuts.served_per_s
+            self._cuts = None
+        return self._errors.are_shown(now)
+
+    def _choose_less(self, tally, span_s):
+        self._signs += 1
+        if self._suspected:
+            return self.shares
+        self._room_per_s = tally.served / span_s
+        if self._cuts is None or self._cuts.is_relieved(tally):
+            self._cuts = CutSeries(tally, span_s)
+        found = cut_shares(self.shares, tally)
+        self._cuts.note_cut(self.shares, found)
+        return found
+
     def _note_change(self, now):
         if self.began_at is None:
             self.began_at = now
--- a/cornelgap/forwarding/admission_control.py
+++ b/cornelgap/forwarding/admission_control.py
@@ -12,6 +12,7 @@
 
 from cornelgap.decisions.fair_shares import FairShares
 from cornelgap.decisions.overload import YOUNG_S, Gate
+from cornelgap.decisions.route_waits import RouteWaits
 from cornelgap.decisions.shed_answers import ShedAnswers
 from cornelgap.forwarding.packets import Drop, Reason, Reset
 
@@ -73,6 +74,7 @@
         self._rng = rng
         self._services = {}
         self._usual = {}
+        self._waits = {}
         self._began_at = None
         self._told = {}
 
@@ -93,6 +95,7 @@
             self._told.pop(name, None)
         for place in self._usual.keys() - routes.keys():
             self._usual.pop(place)
+            self._waits.pop(place)
         for name, found in places.items():
             if name not in self._services:
                 self._services[name] = _Service(found)
@@ -120,9 +123,17 @@
         usual = self._usual.get(place)
         if usual is None:
             usual = self._usual[place] = ShedAnswers()
+            self._waits[place] = RouteWaits()
+        waits = self._waits[place]
         shed = usual.note_answer(size, waited_s)
+        if service.gate.calm and not shed:
+            waits.learn(waited_s)
         service.gate.note_answer(
-            target.cookie, service.places[place], shed, answered_at
+            target.cookie,
+            service.places[place],
+            shed,
+            answered_at,
+            waits.is_prompt(waited_s),
         )
 
     def judge_opening(self, name, route, packet, now):
@@ -200,6 +211,7 @@
             'service': name,
             'state': state,
             'shed_share': round(service.gate.shed_share, 3),
+            'failing': service.gate.failing,
             'admitted': {
                 str(priority): round(share, 3)
                 for priority, share in shares.items()
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -159,3 +159,29 @@
     Guards against refusals that make no error fewer.
     When the proof story "overload errors of all" is played
     Then the proof checkers have no objection
+    But they object once the guard "overload-errors" is taken out
+
+  Scenario: Targets with room fail a small or a large part of all requests
+    Guards against refusals for errors, which no refusal makes fewer.
+    When the proof story "overload errors by share" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-errors" is taken out
+
+  Scenario: Only the requests of one route fail
+    Guards against refusals that follow the errors of another route.
+    When the proof story "overload errors of route" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-errors" is taken out
+
+  Scenario: Requests fail when all instances start
+    Guards against errors that stay unknown where no usual wait is known.
+    When the proof story "overload errors at start" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-errors" is taken out
+
+  Scenario: Requests fail during an overload
+    Guards against cuts for errors beside sheds, and against errors that are
+    over and still taken off.
+    When the proof story "overload errors under load" is played
+    Then the proof checkers have no objection
+    But they object once the guard "overload-errors" is taken out
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -2,6 +2,7 @@
 
 from cornelgap.decisions import (
     cold_starts,
+    error_shares,
     fair_shares,
     flow_health,
     following,
@@ -410,6 +411,12 @@
     patches.set_attr(overload, 'BUSY', 0)
 
 
+def take_errors_for_sheds(patches):
+    patches.set_attr(
+        error_shares.ErrorShares, 'are_shown', lambda self, now: False
+    )
+
+
 def count_sheds_at_once(patches):
     patches.set_attr(admission_control, 'YOUNG_S', 0)
 
@@ -482,6 +489,12 @@
         'errors of targets that are not full keep nothing closed',
         wait_for_no_errors,
     ),
+    (
+        'overload-errors',
+        0,
+        'errors of all targets with room refuse nothing',
+        take_errors_for_sheds,
+    ),
     (
         'overload-young',
         0,
--- a/features/proofs/overload_stories.py
+++ b/features/proofs/overload_stories.py
@@ -13,7 +13,12 @@
 from cornelgap.forwarding.directory_view import RequestPolicy, Route
 from cornelgap.forwarding.packets import Forward, Reason, Reset
 from features.proofs.forwarding_desk import ADDRESS, make_packet
-from features.proofs.overload_world import URGENT, WORST, OverloadWorld
+from features.proofs.overload_world import (
+    TRIES,
+    URGENT,
+    WORST,
+    OverloadWorld,
+)
 
 USUAL = 0.5
 """Part of what the targets serve that callers ask for on an ordinary day."""
@@ -332,3 +337,69 @@
     if served < 0.7 * came:
         return [f'{served} of {came} requests are served']
     return []
+
+
+def judge_errors(world, errors, first, last, judged=(URGENT, WORST)):
+    """Judge what is served where a share of all requests fails.
+
+    :param errors: share of the requests that fail at each try.
+    :param judged: priorities of the requests that fit.
+    """
+    needed = 0.8 * (1 - errors**TRIES)
+    found = list(world.objections[:1])
+    for priority in judged:
+        came = world.count(world.came, first, last, priority)
+        served = world.count(world.served, first, last, priority)
+        if served < needed * came:
+            found.append(f'{served} of {came} requests are served: {errors}')
+    return found
+
+
+def play_errors(errors, restart=False, **changes):
+    """Play three ordinary seconds, and ten in which requests fail."""
+    world = OverloadWorld()
+    world.press(USUAL)
+    world.run(3)
+    world.fail_all(errors, **changes)
+    if restart:
+        for number in range(len(world.desks)):
+            world.restart(number)
+    world.run(10)
+    return judge_errors(world, errors, 5, 13)
+
+
+def play_overload_errors_by_share():
+    """A small, a middle and a large part of all answers are errors."""
+    return [
+        objection
+        for errors in (0.2, 0.5, 0.9)
+        for objection in play_errors(errors)
+    ]
+
+
+def play_overload_errors_of_route():
+    """Only the requests of one priority fail."""
+    return [
+        objection
+        for priority in (URGENT, WORST)
+        for objection in play_errors(0.5, priorities={priority})
+    ]
+
+
+def play_overload_errors_at_start():
+    """Requests fail when all instances start, and none knows usual waits."""
+    return play_errors(0.5, restart=True)
+
+
+def play_overload_errors_under_load():
+    """Requests begin to fail during an overload, and cease before it ends."""
+    world = play_load(2)
+    world.fail_all(0.5)
+    world.run(8)
+    useful = world.count(world.served, 9, 15) / (6 * world.capacity)
+    found = judge_errors(world, 0.5, 9, 15, (URGENT,))
+    if useful < 0.9:
+        found.append(f'targets serve {useful:.2f} of what they could')
+    world.fail_all(0)
+    world.run(6)
+    return found + judge_load(world, 18, 21)
--- a/features/proofs/overload_world.py
+++ b/features/proofs/overload_world.py
@@ -89,6 +89,7 @@
         self._servers = {one.cookie: Server() for one in self.targets}
         self._failing = {one.cookie for one in self.targets[:failing]}
         self._errors = errors
+        self._failing_priorities = None
         self._instances = instances
         self.now = self.began_at = 100
         self.desks = [self._start_desk(one) for one in range(instances)]
@@ -118,9 +119,15 @@
             if not started:
                 self._come(priority)
 
-    def fail_all(self):
-        """Let all targets answer requests with errors from now on."""
+    def fail_all(self, errors=None, priorities=None):
+        """Let all targets answer requests with errors from now on.
+
+        :param errors: share of their requests; None for that of the start.
+        :param priorities: of the requests; None for all.
+        """
         self._failing = set(self._servers)
+        self._errors = self._errors if errors is None else errors
+        self._failing_priorities = priorities
 
     def run(self, seconds):
         """Let time pass."""
@@ -236,7 +243,7 @@
         self._put(desk, flow, pkt.ACK, cookie=cookie, ack=1, size=100)
         server = self._servers[cookie]
         job = (request, desk, flow, cookie)
-        if cookie in self._failing and self.rng.random() < self._errors:
+        if self._fails(request, cookie):
             self._at(TRIP_S, self._end, *job, SHED_BYTES)
         elif server.busy < SLOTS:
             self._serve(server, job)
@@ -246,6 +253,14 @@
             self._note(self.shed, request)
             self._at(TRIP_S, self._end, *job, SHED_BYTES)
 
+    def _fails(self, request, cookie):
+        if cookie not in self._failing:
+            return False
+        only = self._failing_priorities
+        if only is not None and request.priority not in only:
+            return False
+        return self.rng.random() < self._errors
+
     def _serve(self, server, job):
         server.busy += 1
         work_s = self.rng.uniform(0.5, 1.5) * WORK_S
