Let a cut leave a tenth of a share

Cause: a fourth as the least part would slow down the first cut at twelve times the load more than the evidence needs.

--- a/cornelgap/decisions/overload.py
+++ b/cornelgap/decisions/overload.py
@@ -56,7 +56,7 @@
 """Share of a priority that is always admitted.  A caller of the least urgent
 one gets through now and then, and answers show when there is room."""
 
-LEAST_KEPT = 0.25
+LEAST_KEPT = 0.1
 """Part of a share that a cut leaves at least.  Enough answers must be left
 to show what the cut has changed."""
 
