--- a/features/overload.feature
+++ b/features/overload.feature
@@ -185,3 +185,8 @@
     When the proof story "overload errors under load" is played
     Then the proof checkers have no objection
     But they object once the guard "overload-errors" is taken out
+
+  Scenario: One instance has most of the callers
+    Guards against refusals that depend on which instance a caller reaches.
+    When the proof story "overload uneven callers" is played
+    Then the proof checkers have no objection
--- a/features/proofs/overload_stories.py
+++ b/features/proofs/overload_stories.py
@@ -23,6 +23,10 @@
 USUAL = 0.5
 """Part of what the targets serve that callers ask for on an ordinary day."""
 
+MOST_APART = 0.05
+"""Largest difference between the shares of requests that are served to the
+callers of two instances of the same load."""
+
 SETTLED_S = 4
 ENDS_S = 7
 
@@ -403,3 +407,17 @@
     world.fail_all(0)
     world.run(6)
     return found + judge_load(world, 18, 21)
+
+
+def play_overload_uneven_callers():
+    """One of three instances has eight tenths of all callers."""
+    world = play_load(1.3, 10, callers=(8, 1, 1))
+    shares = []
+    for number in range(len(world.desks)):
+        came = sum(world.came_at[second, number] for second in range(6, 12))
+        served = sum(world.served_at[second, number] for second in range(6, 12))
+        shares.append(served / came)
+    if max(shares) - min(shares) > MOST_APART:
+        told = ', '.join(f'{share:.2f}' for share in shares)
+        return [f'callers of the instances are served {told}']
+    return []
--- a/features/proofs/overload_world.py
+++ b/features/proofs/overload_world.py
@@ -49,8 +49,12 @@
 class Request:
     """A caller's request over all its tries."""
 
-    def __init__(self, account, priority, now):
-        """Begin with the first try."""
+    def __init__(self, account, priority, now, instance=None):
+        """Begin with the first try.
+
+        :param instance: number of the one that all tries pass through.
+        """
+        self.instance = instance
         self.account = account
         self.priority = priority
         self.came_at = now
@@ -63,11 +67,15 @@
     :param failing: targets that answer requests with errors.
     :param errors: share of their requests that they answer so.
     :param named: whether the routes name priorities.
+    :param callers: share of the callers at each instance, all of whose tries
+        then pass through it; None where each try passes through any one.
     :ivar rates: tuple (requests a second of one account, accounts) by
         priority.
     :ivar flood: requests a second of one more account of the worst
         priority.
     :ivar came, served, shed, refused, dropped: counts by (second, priority).
+    :ivar came_at, served_at: counts by (second, number of the instance),
+        where callers stay at one.
     :ivar by_account: served requests by (priority, account).
     :ivar objections: what must never happen.
     :ivar told: what each instance tells operators.
@@ -80,10 +88,12 @@
         failing=0,
         errors=0.5,
         named=True,
+        callers=None,
         seed=1,
     ):
         """Start all instances; they know all targets."""
         self._named = named
+        self._callers = callers
         self.rng = random.Random(seed)
         self.targets = [make_target(one) for one in range(1, targets + 1)]
         self._servers = {one.cookie: Server() for one in self.targets}
@@ -102,6 +112,7 @@
         self.came, self.served, self.shed = Counter(), Counter(), Counter()
         self.refused, self.dropped = Counter(), Counter()
         self.by_account = Counter()
+        self.came_at, self.served_at = Counter(), Counter()
         self.objections = []
         self.told = defaultdict(list)
         self._at(TICK_S, self._tick)
@@ -176,6 +187,9 @@
     def _note(self, counter, request):
         counter[int(self.now - self.began_at), request.priority] += 1
 
+    def _note_at(self, counter, request):
+        counter[int(self.now - self.began_at), request.instance] += 1
+
     def _come(self, priority):
         rate, accounts = self.rates[priority]
         flood = self.flood if priority == WORST else 0
@@ -185,8 +199,9 @@
         self._at(self.rng.expovariate(rate + flood), self._come, priority)
         flooding = self.rng.random() * (rate + flood) < flood
         account = 0 if flooding else self.rng.randint(1, accounts)
-        request = Request(account, priority, self.now)
+        request = Request(account, priority, self.now, self._pick_instance())
         self._note(self.came, request)
+        self._note_at(self.came_at, request)
         self._try(request)
 
     def _try(self, request):
@@ -194,7 +209,7 @@
             return
         request.tries += 1
         port = next(self._ports)
-        desk = self.rng.choice(self.desks)
+        desk = self._pick_desk(request)
         flow = {
             'caller': port % 60000 + 1024,
             'port': 443 + request.priority,
@@ -202,6 +217,16 @@
         }
         self._open(request, desk, flow, 0)
 
+    def _pick_instance(self):
+        if self._callers is None:
+            return None
+        return self.rng.choices(range(self._instances), self._callers)[0]
+
+    def _pick_desk(self, request):
+        if request.instance is None:
+            return self.rng.choice(self.desks)
+        return self.desks[request.instance]
+
     def _is_late(self, request):
         return self.now - request.came_at > TIMEOUT_S
 
@@ -280,6 +305,7 @@
             self._try(request)
         elif not self._is_late(request):
             self._note(self.served, request)
+            self._note_at(self.served_at, request)
             self.by_account[request.priority, request.account] += 1
 
     def _tick(self):
