--- a/features/proofs/naive_fanout.py
+++ b/features/proofs/naive_fanout.py
@@ -16,7 +16,7 @@
 
 
 class FanoutMachine(RuleBasedStateMachine):
-    """Four entries under publications, outages, cuts and dead watches."""
+    """Four entries under publications, outages, cuts, pauses, dead watches."""
 
     def __init__(self):
         """Begin with revision 1 at the platform and nobody knowing it."""
@@ -26,7 +26,7 @@
         self.down = False
         self.stale = False
         self.deaf = False
-        self.alone = frozenset()
+        self.alone = self.paused = frozenset()
         self.dists = {
             name: parts.Distribution.from_settings(
                 name, 'z1', random.Random(name)
@@ -44,6 +44,8 @@
         """Let each entry act once."""
         self.now += TURN_S
         for name, dist in self.dists.items():
+            if name in self.paused:
+                continue
             others = [
                 one
                 for one in NAMES
@@ -105,6 +107,11 @@
         """Cut some entries off from the others and from the platform."""
         self.alone = alone
 
+    @rule(paused=st.frozensets(st.sampled_from(NAMES)))
+    def pause(self, paused):
+        """Stop some entries; what they were told meanwhile waits for them."""
+        self.paused = paused
+
     @rule(turns=st.integers(1, 30))
     def pass_time(self, turns):
         """Let time pass."""
@@ -122,7 +129,7 @@
     def teardown(self):
         """With all mended, everyone has what everyone would read."""
         self.down = self.stale = self.deaf = False
-        self.alone = frozenset()
+        self.alone = self.paused = frozenset()
         for _ in range(int(SETTLE_S / TURN_S)):
             self.take_turn()
         found = {name: dist.stamp for name, dist in self.dists.items()}
