--- a/cornelgap/decisions/overload.py
+++ b/cornelgap/decisions/overload.py
@@ -303,7 +303,8 @@
         """Say whether the short answers are errors of targets with room."""
         if are_late(tally):
             self._cuts = None
-        if not tally.sheds or are_late(tally):
+            return False
+        if not tally.sheds:
             return False
         if self._cuts is not None and self._cuts.shows_room(tally, span_s):
             self._errors.note_shown(now)
--- a/cornelgap/forwarding/admission_control.py
+++ b/cornelgap/forwarding/admission_control.py
@@ -124,16 +124,15 @@
         if usual is None:
             usual = self._usual[place] = ShedAnswers()
             self._waits[place] = RouteWaits()
-        waits = self._waits[place]
         shed = usual.note_answer(size, waited_s)
-        if service.gate.calm and not shed:
-            waits.learn(waited_s)
+        prompt = None
+        if not shed:
+            waits = self._waits[place]
+            if service.gate.calm:
+                waits.learn(waited_s)
+            prompt = waits.is_prompt(waited_s)
         service.gate.note_answer(
-            target.cookie,
-            service.places[place],
-            shed,
-            answered_at,
-            waits.is_prompt(waited_s),
+            target.cookie, service.places[place], shed, answered_at, prompt
         )
 
     def judge_opening(self, name, route, packet, now):
