--- a/review/1/case.py
+++ b/review/1/case.py
@@ -208,6 +208,8 @@
         sent=sum(item.sent for item in backends),
         lost=len(loss.lost),
     )
+    ended = {machine.name: len(machine.ends) for machine in lab.machines}
+    lab.note('ends of processes by themselves', ends=ended)
     lab.note('run twice', number=len(runs) - len(set(runs)))
     lab.note('longest delay of the stand-ins', s=round(loop.latest_s, 3))
     for item in breaks[:5]:
--- a/review/lab.py
+++ b/review/lab.py
@@ -674,6 +674,8 @@
         self.process = None
         self._lab = lab
         self._down = False
+        # Guards against two starts at once, whose first process nobody ends.
+        self._lock = threading.Lock()
 
     def start(self):
         ports = self._lab.ports
@@ -710,18 +712,21 @@
             )
 
     def lose_power(self):
-        """Kill the process; it stays down until :meth:`start`."""
-        self._down = True
-        self.process.send_signal(signal.SIGKILL)
-        self.process.wait()
+        """Kill the process; it stays down until :meth:`regain_power`."""
+        with self._lock:
+            self._down = True
+            self.process.send_signal(signal.SIGKILL)
+            self.process.wait()
 
     def regain_power(self):
-        self._down = False
-        self.start()
+        with self._lock:
+            self._down = False
+            self.start()
 
     def stop_and_start(self):
         """Stop the process as planned work does, and start it again."""
-        self._down = True
+        with self._lock:
+            self._down = True
         self.process.send_signal(signal.SIGTERM)
         try:
             self.process.wait(GRACE_S)
@@ -732,13 +737,14 @@
 
     def look(self):
         """Note an end and start again, as the platform does."""
-        code = self.process.poll() if self.process else None
-        if code is None or self._down or self._lab.stopping:
-            return
-        self.ends.append((time.monotonic(), code))
-        time.sleep(0.3)
-        if not self._lab.stopping:
-            self.start()
+        with self._lock:
+            code = self.process.poll() if self.process else None
+            if code is None or self._down or self._lab.stopping:
+                return
+            self.ends.append((time.monotonic(), code))
+            time.sleep(0.3)
+            if not self._lab.stopping:
+                self.start()
 
     def is_ready(self):
         conn = HTTPConnection(self.host, self._lab.ports['ready'], timeout=0.5)
