Keep a flow on its target when two targets have answered its SYN

Cause: the cookie of a packet was taken for the target on which its flow is open. It names the target that the caller heard last. A copy of a SYN that comes to another instance, or that an instance moves, opens half a flow on a second target; this one repeats its SYN+ACK for seconds, and an instance that has not seen the flow open follows the cookie there.

Change: the cookie of a SYN is combined with a mask of the flow and of the SYN's sequence number, so that it names a target only to the packets that directly follow the SYN. The instance that saw a flow open reports its target if it has placed a copy or sees a wrong cookie. An instance that cannot tell holds the packet and asks.

Why it works: a packet is forwarded by its cookie only if that cookie comes from a target that has got a packet of the open flow, or if the packet directly follows the SYN.

--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -94,7 +94,10 @@
         packet = layout.decode_packet(near.recv(2048))
         effect = engine.handle(packet, 1)
         if isinstance(effect, Forward):
-            near.sendto(layout.encode_forward(packet, effect.target), address)
+            datagram = layout.encode_forward(
+                packet, effect.target, effect.cookie
+            )
+            near.sendto(datagram, address)
         far.recv(2048)
     spent = time.process_time() - began
     near.close()
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -39,7 +39,10 @@
     AdoptView,
     LocalEvidence,
     LocalLoads,
+    LocalOwners,
+    OwnerAnswers,
     PeerEvidence,
+    PeerOwners,
     ZoneMembers,
 )
 from cornelgap.forwarding.reports import ReportExchange
@@ -161,6 +164,8 @@
             LocalEvidence: self._handle_evidence,
             KeyKnown: self._handle_key,
             LocalLoads: self._handle_load,
+            LocalOwners: self._send_owners,
+            OwnerAnswers: self._answer_owner_queries,
             ReadMetrics: self._collect_metrics,
             ReadSnapshot: self._make_snapshot,
             SocketReadable: self._read_datagrams,
@@ -257,6 +262,10 @@
         if evidence:
             found = PeerEvidence(beat.name, evidence)
             self._send_to_packet_actor(found)
+        if beat.owners or beat.owner_queries:
+            self._send_to_packet_actor(
+                PeerOwners(host, beat.zone, beat.owners, beat.owner_queries)
+            )
         if not beat.leaving:
             self._apply_beat(beat, changes)
 
@@ -473,6 +482,28 @@
                 answer_ages=message.evidence.ages,
             )
 
+    def _send_owners(self, message):
+        """Send reports and queries on the owners of flows.
+
+        Those to other zones matter when routers send the flows of a zone
+        there, because it has no instance in rotation.
+        """
+        neighbours = self._neighbours
+        if message.queries:
+            hosts = neighbours.list_zone_hosts()
+            far_hosts = neighbours.list_other_zone_hubs()
+            self._send_beat(
+                hosts, self._own.zone, owner_queries=message.queries
+            )
+            self._send_beat(far_hosts, '', owner_queries=message.queries)
+        if message.reports:
+            hosts, far_hosts = neighbours.list_owner_report_hosts()
+            self._send_beat(hosts, self._own.zone, owners=message.reports)
+            self._send_beat(far_hosts, '', owners=message.reports)
+
+    def _answer_owner_queries(self, message):
+        self._send_beat([message.host], message.zone, owners=message.reports)
+
     def _collect_metrics(self, _message):
         directory = self._directory
         gauges = {
--- a/cornelgap/forwarding/directory_view.py
+++ b/cornelgap/forwarding/directory_view.py
@@ -116,6 +116,10 @@
     warmups: dict = field(default_factory=dict)
     cold_until_by_zone: dict = field(default_factory=dict)
 
+    def has_cookie(self, cookie):
+        """Tell whether a cookie is that of a target, registered or not."""
+        return cookie in self.by_cookie or cookie in self.gone_by_cookie
+
     def find(self, cookie):
         """Return the target with a cookie, registered or not, or None."""
         return self.by_cookie.get(cookie) or self.gone_by_cookie.get(cookie)
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -12,6 +12,8 @@
 
 from msgspec import Struct
 
+from cornelgap.forwarding.flow_owners import NO_SEQUENCE
+
 IDLE_AFTER_S = 5.0
 """Time without a packet after which a flow counts as idle.  Callers of long
 flows send about one request a second; a flow whose packets now pass through
@@ -33,6 +35,9 @@
     :param cookie: target on which the flow is open, or to which its last SYN
         was forwarded.
     :param tried: cookies of the targets that got its earlier SYNs.
+    :param syn_seq: sequence number of its SYN; ``NO_SEQUENCE`` if this
+        instance has not seen one.
+    :param ambiguous: whether another target may have got a SYN of it as well.
     :param established: whether the caller has acknowledged a target's SYN+ACK.
     :param next_seq: next sequence number after the caller's last data.
     :param sent_at: when data were last forwarded.
@@ -55,6 +60,8 @@
     opened_at: float
     seen_at: float
     tried: tuple = ()
+    syn_seq: int = NO_SEQUENCE
+    ambiguous: bool = False
     established: bool = False
     next_seq: int = 0
     sent_at: float = 0
@@ -73,11 +80,13 @@
     """What is kept of an open flow without recent packets.
 
     :param last_ack: the caller's last acknowledgement.
+    :param syn_seq: as in :class:`Flow`.
     """
 
     cookie: int
     last_ack: int
     seen_at: float
+    syn_seq: int
 
 
 class Load(Struct):
@@ -113,6 +122,10 @@
         """Return the active flow with a key, or None."""
         return self._flows.get(key)
 
+    def find_idle(self, key):
+        """Return the :class:`IdleFlow` with a key, or None."""
+        return self._idle.get(key)
+
     def get_load(self, cookie):
         """Return the load of a target; add an empty one if it has none."""
         load = self.loads.get(cookie)
@@ -144,14 +157,19 @@
             if flow.cookie in cookies
         ]
 
-    def note_open(self, key, cookie, now):
+    def note_open(self, key, packet, cookie, now):
         """Record that a SYN was forwarded to a target."""
         flow = self._flows.get(key)
         if flow is None:
             flow = self._add(key, cookie, now)
+            flow.syn_seq = packet.seq
+            # Another instance may have forwarded the SYN of which this is a
+            # copy, to a target of its own choice.
+            flow.ambiguous = packet.ack > 0
             return flow
         if flow.cookie != cookie:
             flow.tried = (*flow.tried, flow.cookie)
+            flow.ambiguous = True
             self._move_load(flow, cookie)
         self._mark_seen(key, flow, now)
         return flow
@@ -167,6 +185,8 @@
             flow.last_ack = packet.ack
             flow.established = True
         elif not flow.established and flow.cookie != cookie:
+            # A copy of the SYN was answered by another target.
+            flow.ambiguous = True
             self._move_load(flow, cookie)
         self._record_progress(flow, packet, now)
         flow.established = True
@@ -226,7 +246,9 @@
     def _add_idle(self, key, flow):
         if len(self._idle) >= MAX_FLOWS:
             self._idle.popitem(last=False)
-        self._idle[key] = IdleFlow(flow.cookie, flow.last_ack, flow.seen_at)
+        self._idle[key] = IdleFlow(
+            flow.cookie, flow.last_ack, flow.seen_at, flow.syn_seq
+        )
 
     def _mark_seen(self, key, flow, now):
         flow.seen_at = now
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -59,7 +59,7 @@
 
 LARGE_ZONE_SIZE = 8
 """Instances of a zone above which load reports come half as often, and
-placement spreads its flows instead."""
+placement spreads its flows instead; only hubs then get reports on flows."""
 
 LARGE_ZONE_LOAD_INTERVAL_S = 1.0
 """Seconds between two load reports in larger zones."""
@@ -246,6 +246,18 @@
             return []
         return [self._members[self._hubs[0]].host]
 
+    def list_owner_report_hosts(self):
+        """Return hosts that get reports on the owners of flows.
+
+        In a large zone the hubs are enough, since they are asked as well.
+
+        :returns: tuple (hosts of this zone, hosts of other zones).
+        """
+        if self.count_zone() <= LARGE_ZONE_SIZE:
+            return self.list_zone_hosts(), self.list_other_zone_hubs()
+        hubs = [name for name in self._hubs if name in self._members]
+        return [self._members[name].host for name in hubs], []
+
     def list_zone_hosts(self):
         """Return the hosts of all other instances of this zone."""
         return [member.host for member in self._list_zone_members()]
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -11,6 +11,7 @@
 
 from cornelgap.core.errors import CodedError
 from cornelgap.forwarding.facts import STANDSTILL_S, read_clock
+from cornelgap.forwarding.held_packets import HeldPackets
 from cornelgap.forwarding.packets import SYN, Drop, Forward, Reason, Reset
 from cornelgap.forwarding.sockets import discard_waiting
 from cornelgap.forwarding.zone_standing import DropOpenings
@@ -141,6 +142,47 @@
     evidence: object
 
 
+class LocalOwners(Struct, frozen=True):
+    """Message: owners of flows to report, and queries for owners.
+
+    :param reports: as
+        :meth:`~cornelgap.forwarding.flow_owners.FlowOwners.take_message`
+        returns them.
+    :param queries: likewise.
+    """
+
+    reports: list
+    queries: list
+
+
+class OwnerAnswers(Struct, frozen=True):
+    """Message: answers to the queries of another instance.
+
+    :param host: that instance.
+    :param zone: its availability zone.
+    :param reports: as in :class:`LocalOwners`.
+    """
+
+    host: str
+    zone: str
+    reports: list
+
+
+class PeerOwners(Struct, frozen=True):
+    """Message: reports and queries from another instance.
+
+    :param host: that instance.
+    :param zone: its availability zone.
+    :param reports: as in :class:`LocalOwners`.
+    :param queries: as in :class:`LocalOwners`.
+    """
+
+    host: str
+    zone: str
+    reports: list
+    queries: list
+
+
 class ReadCounts(Struct, frozen=True):
     """Message to ask: return counters, gauges and the last packet's time."""
 
@@ -150,8 +192,8 @@
 
     :param decode: returns the packet in a datagram; raises
         :class:`CodedError`.
-    :param encode_forward: returns the datagram for a target, from a packet
-        and the target.
+    :param encode_forward: returns the datagram for a target, from a packet,
+        the target and the cookie that the packet is to carry.
     :param encode_reset: returns the datagram of a reset, from a flow key and
         a sequence number.
     :param format_ip: returns the text of an IP address given as a number.
@@ -183,6 +225,7 @@
         self._sock = sock
         self._reading = False
         self._pending_openings = []
+        self._held_packets = HeldPackets()
         self._started_at = read_clock()
         self._turn_at = self._started_at
         self._last_packet_at = self._turn_at
@@ -198,6 +241,7 @@
             DropOpenings: self._drop_openings,
             PeerEvidence: self._note_evidence,
             PeerLoads: self._note_peer_loads,
+            PeerOwners: self._note_peer_owners,
             SocketReadable: self._read,
             ReadCounts: self._get_counts,
             Tick: self._tick,
@@ -268,6 +312,7 @@
     def _read(self, _message):
         self._read_batch()
         self._report_evidence()
+        self._exchange_owners()
 
     def _report_evidence(self):
         evidence = self._engine.failure_detector.take_evidence()
@@ -275,6 +320,28 @@
             self._tell(LocalEvidence(evidence))
             self._reset_lost_flows()
 
+    def _exchange_owners(self):
+        reports, queries = self._engine.owners.take_message(self._turn_at)
+        if reports or queries:
+            self._tell(LocalOwners(reports, queries))
+
+    def _note_peer_owners(self, message):
+        now = self._turn_at
+        self._engine.note_owner_reports(message.reports, now)
+        for *flow, _cookie, _syn_seq in message.reports:
+            self._handle_held_packets(tuple(flow))
+        answers = self._engine.list_owners(message.queries, now)
+        if answers:
+            self._tell(OwnerAnswers(message.host, message.zone, answers))
+
+    def _handle_held_packets(self, flow):
+        for packet in self._held_packets.take(flow):
+            self._handle_packet(packet)
+
+    def _drop_overdue_packets(self):
+        for packet in self._held_packets.take_overdue(self._turn_at):
+            self._count_effect(packet, Drop(Reason.UNKNOWN_TARGET))
+
     def _reset_lost_flows(self):
         resets = self._engine.take_lost_flows(self._turn_at)
         self._log_assessment_changes()
@@ -361,16 +428,24 @@
             if len(self._pending_openings) < MAX_PENDING_OPENINGS:
                 self._pending_openings.append(packet)
                 return
-        self.counts[effect.reason] += 1
-        if effect.reason is not Reason.KNOWN:
-            self._log_effect(packet, effect)
+        if effect.reason is Reason.UNKNOWN_TARGET:
+            if self._held_packets.add(packet, self._turn_at):
+                return
+        self._count_effect(packet, effect)
         if isinstance(effect, Forward):
             target = effect.target
-            datagram = self._codec.encode_forward(packet, target)
+            datagram = self._codec.encode_forward(packet, target, effect.cookie)
             self._send(datagram, target.address)
+            if self._held_packets and effect.reason is Reason.KNOWN:
+                self._handle_held_packets(packet.flow)
         elif isinstance(effect, Reset):
             self._send_reset(packet.flow, effect.seq)
 
+    def _count_effect(self, packet, effect):
+        self.counts[effect.reason] += 1
+        if effect.reason is not Reason.KNOWN:
+            self._log_effect(packet, effect)
+
     def _log_effect(self, packet, effect):
         if effect.reason in _SAMPLED_REASONS and not self._is_sampled(
             effect.reason
@@ -438,6 +513,8 @@
         self._engine.note_overdue(self._turn_at)
         self._step_admission()
         self._engine.expire(self._turn_at)
+        self._drop_overdue_packets()
+        self._exchange_owners()
         self._report_evidence()
         self._reset_lost_flows()
         flows = self._engine.flows
--- a/cornelgap/forwarding/packet_checks.py
+++ b/cornelgap/forwarding/packet_checks.py
@@ -1,6 +1,10 @@
 """Stateless checks of one packet against what is known of its flow."""
 
 from cornelgap.forwarding import packets as pkt
+from cornelgap.forwarding.handshake_cookies import (
+    compute_syn_seq,
+    read_handshake_cookie,
+)
 
 MIN_REPEAT_DELAY_S = 0.15
 """Least time after a packet was forwarded before a repeat of it counts as
@@ -43,6 +47,14 @@
     return now - known.seen_at < MIN_REPEAT_DELAY_S
 
 
+def may_have_overtaken(known, now):
+    """Check whether a packet may have overtaken the one that opens its flow.
+
+    :param known: the flow as seen here, or None.
+    """
+    return known is not None and now - known.seen_at < MIN_REPEAT_DELAY_S
+
+
 def is_repeat(packet, known, now):
     """Check whether a caller repeats its last data for lack of an answer.
 
@@ -63,11 +75,44 @@
 
     :param known: the flow as seen here, or None.
     """
-    if known is not None and known.established:
+    if is_established(known):
         return known.cookie
     return packet.cookie
 
 
+def is_established(known):
+    """Check whether the caller has acknowledged a target's SYN+ACK.
+
+    :param known: the flow as seen here, or None.
+    """
+    return known is not None and known.established
+
+
+def is_misleading(packet, known):
+    """Check whether a packet's cookie does not name its flow's target.
+
+    The caller has last received a SYN+ACK, of another target or once more of
+    its own.  An instance that does not know the flow could not route the
+    packet.
+
+    :param known: the flow as seen here, established.
+    """
+    if packet.cookie == known.cookie:
+        return False
+    return read_handshake_cookie(packet) != known.cookie
+
+
+def is_same_flow(packet, owner):
+    """Check whether an owner is that of the flow which a packet has opened.
+
+    Otherwise the owner is that of an earlier flow with the same key.
+
+    :param packet: one that directly follows a SYN.
+    :param owner: :class:`~cornelgap.forwarding.flow_owners.Owner`.
+    """
+    return owner.syn_seq == compute_syn_seq(packet)
+
+
 def order_services(route, packet):
     """Choose a route's service for a new flow by weight; list it first.
 
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -94,10 +94,12 @@
     """Effect: send the packet to a target.
 
     :param target: :class:`cornelgap.forwarding.directory_view.Target`.
+    :param cookie: cookie that the packet carries to the target.
     """
 
     target: object
     reason: Reason
+    cookie: int
 
 
 class Reset(Struct, frozen=True):
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -94,6 +94,10 @@
         milliseconds of the last change and of the last confirmation].
     :param beyond: names of the unreachable zones that ``openings`` or
         ``withdrawal`` refers to.
+    :param owners: reports of the targets that hold open flows: rows of a
+        flow's key, the target's cookie and the sequence number of the SYN, as
+        in :class:`~cornelgap.forwarding.flow_owners.Owner`.
+    :param owner_queries: keys of flows whose owners the sender asks for.
     :param members: lists [name, zone, host, capacity] of instances whose
         beats came lately.
     """
@@ -131,6 +135,8 @@
     openings: list = field(default_factory=list)
     withdrawal: list = field(default_factory=list)
     beyond: list = field(default_factory=list)
+    owners: list = field(default_factory=list)
+    owner_queries: list = field(default_factory=list)
     members: list = field(default_factory=list)
 
     @property
@@ -504,6 +510,8 @@
         and _is_member_list(beat.members)
         and _has_valid_evidence(beat)
         and _has_valid_standing(beat)
+        and _is_list_of_rows(beat.owners, 6)
+        and _is_list_of_rows(beat.owner_queries, 4)
     )
     if not (texts and numbers and ages and lists):
         raise CodedError(
--- a/cornelgap/platform/layout.py
+++ b/cornelgap/platform/layout.py
@@ -68,14 +68,14 @@
         )
 
 
-def encode_forward(packet, target):
+def encode_forward(packet, target, cookie):
     """Make the datagram for a target; only the cookie is ours to change."""
     raw = packet.raw
     return b''.join(
         (
             encode_identity(target),
             raw[:COOKIE_AT],
-            COOKIE.pack(target.cookie),
+            COOKIE.pack(cookie),
             raw[COOKIE_AT + COOKIE.size :],
         )
     )
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -31,6 +31,15 @@
     When an instance starts and is told of new settings while it loads
     Then it becomes ready
 
+  Scenario: Two targets answer a SYN and its copy, and routers change
+    Guards against data that is sent to a target which does not hold its flow.
+    When 40 flows are opened whose copies reach another instance
+    And the targets repeat their SYN+ACKs and routers choose "n1"
+    And the targets repeat their SYN+ACKs and routers choose "n3"
+    And instance "n2" ends and starts again
+    And the targets repeat their SYN+ACKs and routers choose "n2"
+    Then no flow was reset and every request was answered
+
   Scenario: A killed instance takes no flow with it
     A machine loses power.  Its flows are on targets, and any other instance
     can carry their packets.
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -18,7 +18,9 @@
     directory,
     engine,
     failure_detector,
+    flow_owners,
     flows,
+    handshake_cookies,
     lifetimes,
     neighbours,
     news,
@@ -36,6 +38,42 @@
     )
 
 
+def put_plain_cookie(patches):
+    patches.replace_function(
+        handshake_cookies.make_handshake_cookie, lambda packet, cookie: cookie
+    )
+
+
+def report_no_owner(patches):
+    patches.set_attr(
+        flow_owners.FlowOwners,
+        'report',
+        lambda self, flow, cookie, syn_seq, now: None,
+    )
+
+
+def ask_for_no_owner(patches):
+    patches.set_attr(
+        flow_owners.FlowOwners, 'ask', lambda self, flow, now: None
+    )
+
+
+def overlook_misled_packets(patches):
+    patches.replace_function(
+        packet_checks.is_misleading, lambda packet, known: False
+    )
+
+
+def forget_idle_owner(patches):
+    patches.set_attr(flows.FlowTable, 'find_idle', lambda self, key: None)
+
+
+def trust_old_report(patches):
+    patches.replace_function(
+        packet_checks.is_same_flow, lambda packet, owner: True
+    )
+
+
 def address_anybody(patches):
     patches.replace_function(layout.encode_identity, lambda target: bytes(8))
 
@@ -928,4 +966,40 @@
         'a late answer does not lead a flow to another target',
         move_first_copy,
     ),
+    (
+        'handshake-cookies',
+        1,
+        'the cookie of a SYN+ACK names no target in later packets',
+        put_plain_cookie,
+    ),
+    (
+        'owner-reports',
+        1,
+        'the target of a flow that two targets answered is reported',
+        report_no_owner,
+    ),
+    (
+        'owner-queries',
+        1,
+        'an instance asks for the target of a flow that it cannot tell',
+        ask_for_no_owner,
+    ),
+    (
+        'misled-reports',
+        1,
+        'a packet whose cookie names another target is noticed',
+        overlook_misled_packets,
+    ),
+    (
+        'idle-owner',
+        1,
+        'the target of an idle flow is known',
+        forget_idle_owner,
+    ),
+    (
+        'owner-of-flow',
+        1,
+        'a report counts for one flow, not for a later one of the same key',
+        trust_old_report,
+    ),
 )
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -75,7 +75,8 @@
     """An address is given to a target of another service."""
     desk = start_desk(SEARCH[0])
     packet = make_packet(40001, pkt.SYN, raw=bytes(36))
-    datagram = layout.encode_forward(packet, desk.put(packet).target)
+    effect = desk.put(packet)
+    datagram = layout.encode_forward(packet, effect.target, effect.cookie)
     # The process that now listens at the address goes by these bytes.
     archive = 77
     meant = int.from_bytes(datagram[:8], 'big')
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -245,6 +245,65 @@
     strike(context, lambda: context.stopped.send_signal(signal.SIGTERM))
 
 
+@when('{count:d} flows are opened whose copies reach another instance')
+def open_split_flows(context, count):
+    send_all_to(context, HOSTS[0])
+    set_syn_acks_lost(context, True)
+    context.flows = open_flows(context, count)
+    wait_for(
+        lambda: count_held(context) >= count, WAIT_S, 'targets got all SYNs'
+    )
+    set_syn_acks_lost(context, False)
+    send_all_to(context, HOSTS[1])
+    wait_until_settled(context.flows)
+    context.asked = 0
+    ask_again(context)
+    assert count_held(context) > count, 'no copy came to another target'
+
+
+@when('the targets repeat their SYN+ACKs and routers choose "{name}"')
+def mislead_callers(context, name):
+    def repeat(_now):
+        for target in context.targets.values():
+            target.repeat_syn_acks()
+
+    context.world.call(repeat)
+    # The callers have read them before their next requests.
+    time.sleep(0.1)
+    send_all_to(context, context.hosts[name])
+    ask_again(context)
+
+
+@when('instance "{name}" ends and starts again')
+def replace_instance(context, name):
+    kill(context.procs[name])
+    start_instance(context, name)
+    address = (context.hosts[name], context.ports['ready'])
+    wait_for(lambda: ask_ready(address), WAIT_S, 'the instance is ready')
+
+
+def send_all_to(context, host):
+    context.routers.only = (host, context.ports['packets'])
+
+
+def set_syn_acks_lost(context, lost):
+    def change(_now):
+        for target in context.targets.values():
+            target.loses_syn_acks = lost
+
+    context.world.call(change)
+
+
+def count_held(context):
+    return sum(len(target.flows) for target in context.targets.values())
+
+
+def ask_again(context):
+    ask_all(context, b'request %d' % context.asked)
+    wait_for_answers(context)
+    context.asked += 1
+
+
 @when('all instances are paused, asked to stop and continued')
 def stop_paused(context):
     procs = context.procs.values()
--- a/features/steps/proof_trap_steps.py
+++ b/features/steps/proof_trap_steps.py
@@ -12,6 +12,7 @@
     overload_stories,
     part_stories,
     path_loss_stories,
+    split_flow_stories,
     stories,
     withdrawal_stories,
     world_stories,
@@ -31,6 +32,7 @@
     withdrawal_stories,
     path_loss_stories,
     overload_stories,
+    split_flow_stories,
 )
 
 
