Drop copies of a SYN that are handled after their flow was opened

What callers may see: an open flow is led to a target that does not hold it and is reset.

Cause: a copy of an established flow's SYN was placed like a new flow, and the record of the flow took over the new target, which counts more than the cookie of a packet. The same holds for a SYN that has waited in an instance while another one placed its copy and reported the flow.

Change: a SYN with the sequence number of an open flow's SYN is dropped. One with another number is a new flow from a port that is used again: it gets a record of its own, so that its copies stay on its target. Before, they were spread over targets.

--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -34,6 +34,7 @@
     is_early_copy,
     is_established,
     is_from_target,
+    is_late_copy,
     is_misleading,
     is_same_flow,
     may_have_overtaken,
@@ -338,11 +339,20 @@
                 return Drop(Reason.NOT_FRESH)
             return Reset(packet.ack, Reason.NO_ROUTE)
         known = self.flows.find(packet.flow)
+        opened = self._find_opened(packet.flow, known, now)
+        if is_late_copy(packet, opened):
+            return Drop(Reason.ALREADY_OPEN)
+        if is_established(known):
+            self.flows.forget(packet.flow)
+            known = None
         if not was_forwarded(known):
             name = order_services(route, packet)[0]
             refusal = self.admission.check_admission(name, route, packet, now)
             if refusal is not None:
                 return refusal
+        return self._place_flow(route, packet, known, now)
+
+    def _place_flow(self, route, packet, known, now):
         early = is_early_copy(packet, known, now)
         tried = () if early else self._record_copy(packet, known, now)
         if early or (tried and packet.ack < FIRST_MOVED_COPY):
@@ -358,6 +368,11 @@
         reason = Reason.MOVED_ON if tried else Reason.PLACED
         return self._forward_opening(packet, target, reason, now)
 
+    def _find_opened(self, flow, known, now):
+        if is_established(known):
+            return known
+        return self.owners.find(flow, now)
+
     def _forward_opening(self, packet, target, reason, now):
         if self.view.is_cold(target, now):
             self._cold_starts.note_open(target.cookie, now)
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -196,6 +196,10 @@
             flow.closed = True
         return flow
 
+    def forget(self, key):
+        """Remove an active flow whose key a new flow uses again."""
+        self._remove(key)
+
     def expire(self, now):
         """Remove inactive flows; keep the open ones as idle for some time."""
         while self._flows:
--- a/cornelgap/forwarding/packet_checks.py
+++ b/cornelgap/forwarding/packet_checks.py
@@ -1,6 +1,7 @@
 """Stateless checks of one packet against what is known of its flow."""
 
 from cornelgap.forwarding import packets as pkt
+from cornelgap.forwarding.flow_owners import NO_SEQUENCE
 from cornelgap.forwarding.handshake_cookies import (
     compute_syn_seq,
     read_handshake_cookie,
@@ -47,6 +48,23 @@
     return now - known.seen_at < MIN_REPEAT_DELAY_S
 
 
+def is_late_copy(packet, opened):
+    """Check whether a SYN is a copy of the one that opened a flow.
+
+    The caller has sent it before it got a SYN+ACK.  Forwarded to another
+    target, it would open the flow there as well.
+
+    :param opened: the open flow with that key, or its
+        :class:`~cornelgap.forwarding.flow_owners.Owner`; None if none is
+        known.
+    """
+    if opened is None:
+        return False
+    if opened.syn_seq == NO_SEQUENCE:
+        return packet.ack > 0
+    return opened.syn_seq == packet.seq
+
+
 def may_have_overtaken(known, now):
     """Check whether a packet may have overtaken the one that opens its flow.
 
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -82,6 +82,8 @@
     # The directory, or the SYN itself, may be too old for a decision.
     NOT_FRESH = 'not_fresh'
     STALE_OPEN = 'stale_open'
+    # The SYN is that of a flow which is open.
+    ALREADY_OPEN = 'already_open'
     # The cookie names no known target, or two of them, or is missing.
     UNKNOWN_TARGET = 'unknown_target'
     AMBIGUOUS_COOKIE = 'ambiguous_cookie'
--- a/features/proofs/forwarding_guards.py
+++ b/features/proofs/forwarding_guards.py
@@ -74,6 +74,18 @@
     )
 
 
+def open_late_copies(patches):
+    patches.replace_function(
+        packet_checks.is_late_copy, lambda packet, opened: False
+    )
+
+
+def drop_new_flows(patches):
+    patches.replace_function(
+        packet_checks.is_late_copy, lambda packet, opened: opened is not None
+    )
+
+
 def address_anybody(patches):
     patches.replace_function(layout.encode_identity, lambda target: bytes(8))
 
@@ -1002,4 +1014,16 @@
         'a report counts for one flow, not for a later one of the same key',
         trust_old_report,
     ),
+    (
+        'late-copies',
+        1,
+        'a SYN that is handled after its flow was opened changes nothing',
+        open_late_copies,
+    ),
+    (
+        'new-flows',
+        1,
+        'a new flow from the port of an open one is opened',
+        drop_new_flows,
+    ),
 )
--- a/features/proofs/split_flow_stories.py
+++ b/features/proofs/split_flow_stories.py
@@ -29,13 +29,13 @@
 PLAY_S = 30
 
 
-def start_desk(*first):
+def start_desk(*first, rng_seed=1):
     """Start an engine.
 
     :param first: the targets that it knows when it places a flow; all, if
         none is named.
     """
-    desk = Desk()
+    desk = Desk(rng_seed)
     desk.set_routes(make_route('search'))
     desk.set_targets(*(first or TARGETS))
     return desk
@@ -224,6 +224,49 @@
     return find_lost(effect, TARGETS[3])
 
 
+def play_copy_after_acknowledgement():
+    """Copies of a SYN are handled after its flow was opened."""
+    found = []
+    for seed in range(50):
+        desk = start_desk(rng_seed=seed)
+        owner = establish(desk, desk.put(make_syn()).cookie)
+        for copy in (1, 2):
+            effect = desk.put(make_syn(copy))
+            if get_target(effect) not in {None, owner}:
+                found.append('a copy went to a second target')
+        effect = send(desk, owner.cookie, FIRST_BYTES, size=50)
+        found += find_lost(effect, owner)
+    return found
+
+
+def play_syn_after_report():
+    """A SYN has waited in an instance that stood still."""
+    first, second = start_desk(), start_desk()
+    assert establish(second, open_on(second, TARGETS[1], copy=1)) == TARGETS[1]
+    exchange(second, first)
+    if get_target(first.put(make_syn())) is not None:
+        return ['a SYN of an open flow went to a second target']
+    return []
+
+
+def play_port_used_again():
+    """A caller that has crashed opens a flow from the port of an open one."""
+    desk = start_desk()
+    establish(desk, desk.put(make_syn()).cookie)
+    found = []
+    for seq in range(1, 21):
+        desk.pass_time(1)
+        desk.confirm()
+        effect = desk.put(make_syn(seq=seq))
+        owner = get_target(effect)
+        if get_target(desk.put(make_syn(1, seq))) != owner:
+            found.append('the copy of a SYN went to a second target')
+        send(desk, effect.cookie, syn_seq=seq)
+        effect = send(desk, effect.cookie, size=FIRST_BYTES, syn_seq=seq)
+        found += find_lost(effect, owner)
+    return found
+
+
 def play_report_hosts():
     """Reports leave a small zone, and go to the hubs of a large one."""
     found = []
--- a/features/split_flows.feature
+++ b/features/split_flows.feature
@@ -64,6 +64,25 @@
     Then the proof checkers have no objection
     But they object once the guard "handshake-cookies" is taken out
 
+  Scenario: A copy is handled after its flow was opened
+    Guards against an open flow that its instance moves to a second target.
+    When the proof story "copy after acknowledgement" is played
+    Then the proof checkers have no objection
+    But they object once the guard "late-copies" is taken out
+
+  Scenario: A SYN is handled after another instance has reported its flow
+    Guards against a second target for a flow that is known to be open.
+    When the proof story "syn after report" is played
+    Then the proof checkers have no objection
+    But they object once the guard "late-copies" is taken out
+
+  Scenario: A caller opens a flow from the port of an open one
+    Guards against a new flow that is taken for an open one, and against
+    copies of its SYN that are spread over targets.
+    When the proof story "port used again" is played
+    Then the proof checkers have no objection
+    But they object once the guard "new-flows" is taken out
+
   Scenario: Reports go beyond a small zone, and to the hubs of a large one
     Guards against a zone whose only instance is stopped, and against reports
     that take the most of a large zone's traffic.
