Send plain cookies while a zone has an instance of an earlier version

What callers would see: while instances are upgraded one after the other, the first request of a flow that was opened through a new instance is silent if routers lead it to one of the version before, which does not understand the cookie of the SYN+ACK.

Change: a beat says whether its sender understands handshake cookies, and a hub whether it hears an instance that does not. As long as one is heard, SYNs carry plain cookies, as before. A hub tells only what it hears itself; otherwise two hubs would confirm each other for ever.

Scenario "An instance of an earlier version is in the zone".

--- a/cornelgap/forwarding/beats.py
+++ b/cornelgap/forwarding/beats.py
@@ -65,6 +65,9 @@
             **parts,
         )
         beat.hub = self._neighbours.is_hub
+        beat.handshake_cookies = True
+        # Only what it has heard itself: hubs would confirm each other for ever.
+        beat.plain_cookies = beat.hub and self._neighbours.hears_earlier_version
         if directory.complete:
             beat.routes_version = directory.routes_stamp.version
             beat.routes_era = directory.routes_stamp.era
--- a/cornelgap/forwarding/directory_actor.py
+++ b/cornelgap/forwarding/directory_actor.py
@@ -43,6 +43,7 @@
     OwnerAnswers,
     PeerEvidence,
     PeerOwners,
+    UsePlainCookies,
     ZoneMembers,
 )
 from cornelgap.forwarding.reports import ReportExchange
@@ -156,6 +157,7 @@
             MAX_EVIDENCE_BEATS_PER_S, MAX_EVIDENCE_BEATS_PER_S
         )
         self._recent_members = frozenset()
+        self._plain_cookies = False
         self.counts = Counter()
         self.actor_inbox.add_socket(self._sock)
         self.handlers = {
@@ -367,11 +369,15 @@
             self._send_regular_beats(now)
 
     def _send_zone_members(self, now):
-        """Tell the packet actor which instances are in the zone."""
+        """Tell the packet actor of the zone's instances and their versions."""
         recent = self._neighbours.list_recent(now)
         if recent != self._recent_members:
             self._recent_members = recent
             self._send_to_packet_actor(ZoneMembers(recent))
+        plain = self._neighbours.needs_plain_cookies
+        if plain != self._plain_cookies:
+            self._plain_cookies = plain
+            self._send_to_packet_actor(UsePlainCookies(plain))
 
     def _fetch_from_seed(self, now):
         """Fetch a snapshot from a seed while the store has not sent the key.
--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -91,6 +91,8 @@
     :param rng: generator for choices among equals.
     :param cold_starts:
         :class:`~cornelgap.decisions.cold_starts.ColdStarts`.
+    :ivar plain_cookies: whether SYNs carry the cookies of their targets
+        unchanged, for instances of an earlier version.
     """
 
     def __init__(self, zone, rng, cold_starts=None):
@@ -103,6 +105,7 @@
         self._distrusted_at = float('-inf')
         self.flows = FlowTable()
         self.owners = FlowOwners()
+        self.plain_cookies = False
         self._rank = 0
         self._remote_flows = {}
         self._instances = 1
@@ -384,7 +387,7 @@
         One that would name another target, or none, is not used.
         """
         cookie = make_handshake_cookie(packet, target.cookie)
-        if not cookie or self.view.has_cookie(cookie):
+        if self.plain_cookies or not cookie or self.view.has_cookie(cookie):
             return target.cookie
         return cookie
 
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -190,6 +190,26 @@
         """Say whether this instance is a hub of its zone."""
         return self.name in self._hubs
 
+    @property
+    def hears_earlier_version(self):
+        """Say whether the zone has instances that need plain cookies.
+
+        Instances of an earlier version do not understand
+        :mod:`~cornelgap.forwarding.handshake_cookies`.
+        """
+        return any(not beat.handshake_cookies for beat in self._zone_beats)
+
+    @property
+    def needs_plain_cookies(self):
+        """Say whether this instance hears those instances, or a hub does."""
+        is_told = any(beat.plain_cookies for beat in self._zone_beats)
+        return is_told or self.hears_earlier_version
+
+    @property
+    def _zone_beats(self):
+        beats = (member.beat for member in self._list_zone_members())
+        return [beat for beat in beats if beat is not None]
+
     @property
     def is_first_hub(self):
         """Say whether this instance is the hub that sums the zone's loads."""
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -122,6 +122,15 @@
     names: frozenset
 
 
+class UsePlainCookies(Struct, frozen=True):
+    """Message: whether SYNs carry plain cookies from now on.
+
+    :param plain: whether an instance of the zone understands no others.
+    """
+
+    plain: bool
+
+
 class LocalEvidence(Struct, frozen=True):
     """Message: evidence from this instance's flows on the health of targets.
 
@@ -245,6 +254,7 @@
             SocketReadable: self._read,
             ReadCounts: self._get_counts,
             Tick: self._tick,
+            UsePlainCookies: self._use_plain_cookies,
             ZoneMembers: self._note_members,
             ZoneOutcomes: self._note_zone_outcomes,
         }
@@ -498,6 +508,9 @@
     def _note_members(self, message):
         self._engine.note_members(message.names)
 
+    def _use_plain_cookies(self, message):
+        self._engine.plain_cookies = message.plain
+
     def _drop_openings(self, message):
         self._engine.openings.drop_until(self._turn_at + message.for_s)
 
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -59,6 +59,11 @@
     :param hub: whether the sender is a hub of its zone.
     :param following: whether it follows the store.
     :param leaving: whether it is about to end.
+    :param handshake_cookies: whether it understands
+        :mod:`~cornelgap.forwarding.handshake_cookies`; earlier versions do
+        not.
+    :param plain_cookies: whether the sender, a hub, has heard an instance of
+        its zone that does not understand them.
     :param routes_version: the operator's version number of its configuration.
     :param routes_era: the store's era in which the configuration was written.
     :param routes_revision: the store's revision of the configuration.
@@ -111,6 +116,8 @@
     hub: bool = False
     following: bool = False
     leaving: bool = False
+    handshake_cookies: bool = False
+    plain_cookies: bool = False
     routes_version: int = 0
     routes_era: int = 0
     routes_revision: int = 0
--- a/features/proofs/split_flow_stories.py
+++ b/features/proofs/split_flow_stories.py
@@ -274,8 +274,7 @@
         own = InstanceIdentity('n0', 'a', '10.0.0.0')
         neighbours = Neighbours(own, (), random.Random(1))
         for number in range(1, size):
-            beat = Beat(f'n{number}', 'a', f'10.0.0.{number}', 1)
-            neighbours.record_beat(beat, 1)
+            neighbours.record_beat(make_beat(number), 1)
         far_hub = Beat('m1', 'b', '10.0.1.1', 1, hub=True)
         neighbours.record_beat(far_hub, 1)
         neighbours.expire(1)
@@ -285,6 +284,38 @@
     return found
 
 
+def make_beat(number, **fields):
+    """Make the beat of an instance of the zone, of this version."""
+    values = {'handshake_cookies': True, **fields}
+    return Beat(f'n{number}', 'a', f'10.0.0.{number}', 1, **values)
+
+
+def play_earlier_version():
+    """An instance of an earlier version joins the zone, and leaves it."""
+    own = InstanceIdentity('n0', 'a', '10.0.0.0')
+    heard = []
+    for beat in (
+        make_beat(1, handshake_cookies=False),
+        make_beat(1),
+        make_beat(2, hub=True, plain_cookies=True),
+        make_beat(2, hub=True),
+    ):
+        neighbours = Neighbours(own, (), random.Random(1))
+        neighbours.record_beat(make_beat(3), 1)
+        neighbours.record_beat(beat, 1)
+        heard.append(
+            (neighbours.hears_earlier_version, neighbours.needs_plain_cookies)
+        )
+    expected = [(True, True), (False, False), (False, True), (False, False)]
+    desk = start_desk()
+    desk.engine.plain_cookies = True
+    effect = desk.put(make_syn())
+    found = [] if heard == expected else [f'heard {heard}']
+    if effect.cookie != effect.target.cookie:
+        found.append('an earlier version cannot read the cookie of a SYN')
+    return found
+
+
 def play_zones_of_split_flows():
     """Instances restart in turn or stand still, and SYN+ACKs are lost."""
     found = []
--- a/features/split_flows.feature
+++ b/features/split_flows.feature
@@ -89,6 +89,11 @@
     When the proof story "report hosts" is played
     Then the proof checkers have no objection
 
+  Scenario: An instance of an earlier version is in the zone
+    Guards against cookies that it takes for those of unknown targets.
+    When the proof story "earlier version" is played
+    Then the proof checkers have no objection
+
   Scenario: Packets of a request overtake each other
     Guards against a first request that waits for its caller's repeat.
     Given a packet task that knows a route and a target
