--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -35,7 +35,14 @@
 it."""
 
 FOLLOWER = 'follower'
-_FAILED = (CodedError, AttributeError, LookupError, TypeError, ValueError)
+_FAILED = (
+    CodedError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 _LOG = logging.getLogger('cornelgap.follower')
 
 
--- a/cornelgap/forwarding/peer_messages.py
+++ b/cornelgap/forwarding/peer_messages.py
@@ -493,7 +493,7 @@
 def _parse_json(body):
     try:
         content = json.loads(body)
-    except ValueError as exc:
+    except (RecursionError, ValueError) as exc:
         raise CodedError(Code.PKT_FIELD, repr(exc), 'body') from exc
     if not isinstance(content, dict):
         raise CodedError(Code.PKT_FIELD, 'not a JSON object', 'body')
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -56,6 +56,15 @@
     And the flows that the target holds go on
     And explaining a refused flow tells "has no route to this address"
 
+  Scenario: Another writer leaves an entry that no JSON parser reads
+    Guards against one entry that hides all changes, or ends all processes.
+    When 40 flows are opened and each makes 1 request
+    And another writer leaves entries with nested values
+    And a target begins to drain and a route is dropped
+    Then within 3 s no new flow reaches the target or the route
+    And the flows that the target holds go on
+    And no instance has ended
+
   Scenario: An operator drains a zone and takes it back
     Its machines are about to go.  The order goes to one instance that
     follows the store; a feed that another one opens there is cut off.
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -112,6 +112,25 @@
     One entry holds bytes that are no text, or a number without an end.
     Then an answer with such bytes in one entry is read
 
+  Scenario Outline: A value nested <depth> deep hides no target
+    Guards against one entry that makes a whole answer unreadable, and against
+    an error of the parser that ends the follower.
+    Given a store with 3 targets that lists 500 objects a page
+    And entries with values nested <depth> deep and a number of 5000 digits
+    When a source lists it
+    Then the 3 targets are whole and no other entry names one
+
+    Examples: Depths that the parser reads, and that it does not
+      | depth  |
+      | 20     |
+      | 400    |
+      | 2000   |
+      | 100000 |
+
+  Scenario: The message on a nested value is as short as its depth is great
+    Guards against a message that nests as deeply as the value itself.
+    Then no depth of a value between 850 and 1010 raises anything
+
   Scenario: An order to drain a zone is heard from the revision alone
     The watch waits for targets only.  Were its revision not compared, flows
     would be opened in the zone until its machines are taken away.
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -17,7 +17,7 @@
 from cornelgap.platform import keys
 from cornelgap.platform.layout import parse_ip
 from cornelgap.platform.node import METRICS_PORT
-from standins.object_store import ObjectStore, start_store
+from standins.object_store import ObjectStore, RawJson, start_store
 from standins.packet_ends import (
     Callers,
     PacketTarget,
@@ -579,6 +579,21 @@
     wait_for(lambda: all_ready(context), WAIT_S, 'all instances are ready')
 
 
+@when('another writer leaves entries with nested values')
+def leave_nested_entries(context):
+    nested = RawJson('[' * 2000 + ']' * 2000)
+    number = RawJson('9' * 5000)
+    context.store.put('servers', 'i-00000bad', {'service': nested})
+    spec = {'max_concurrent': number, 'service': nested}
+    context.store.put('servers', 'i-00000bae', spec)
+
+
+@then('no instance has ended')
+def check_running(context):
+    codes = {name: proc.popen.poll() for name, proc in context.procs.items()}
+    assert not any(code is not None for code in codes.values()), codes
+
+
 @when('a target crashes while the flows make requests')
 def crash_target(context):
     context.targets[1].crashed = True
--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -87,6 +87,10 @@
 )
 
 
+NESTED = b'{"changes":' + b'[' * 3000 + b']' * 3000 + b'}'
+"""Nested more deeply than Python's parser goes."""
+
+
 def make_raw(data, flags, values):
     dport, source, destination, sport, cookie, seq, ack, total = values
     head = layout.HEAD.pack(
@@ -180,6 +184,7 @@
             noise,
             peers.sign_message(noise, KEY),
             peers.sign_message(body, KEY),
+            peers.sign_message(NESTED, KEY),
         ):
             try:
                 beat = peers.decode_beat(raw, KEY)
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -1,5 +1,6 @@
 """Steps on the store's client and source against the stand-in store."""
 
+import itertools
 import logging
 import queue
 import random
@@ -26,6 +27,7 @@
 from cornelgap.forwarding.stamps import Stamp
 from cornelgap.kernel.named_actor import NamedActor
 from cornelgap.platform.keys import learn_key
+from cornelgap.platform.objects import load_registration
 from cornelgap.platform.sources import StoreSource
 from cornelgap.platform.store import (
     CALL_S,
@@ -35,7 +37,12 @@
     StoreError,
     load_json,
 )
-from standins.object_store import ObjectStore, start_store
+from standins.object_store import (
+    ObjectStore,
+    RawJson,
+    encode_content,
+    start_store,
+)
 
 WAIT_S = 0.2
 WAIT_LONG_S = 15
@@ -346,10 +353,14 @@
 
 
 class FailingSource:
-    """A source whose calls bring no answer."""
+    """A source whose calls bring no answer, or one that cannot be read."""
+
+    errors = itertools.cycle(
+        (StoreError('status 429', answered=True), RecursionError('nested'))
+    )
 
     def list_facts(self):
-        raise StoreError('status 429', answered=True)
+        raise next(self.errors)
 
     def close(self):
         """Nothing is open."""
@@ -484,6 +495,41 @@
     assert sorted(places) == sorted(wanted), places
 
 
+@given(
+    'entries with values nested {depth:d} deep and a number of {digits:d} digits'
+)
+def put_nested(context, depth, digits):
+    number = RawJson('9' * digits)
+    for name, opening, closing in (
+        ('i-000000c1', '[', ']'),
+        ('i-000000c2', '{"a":', '}'),
+    ):
+        nested = RawJson(opening * depth + '7' + closing * depth)
+        spec = {**make_spec(9), 'service': nested}
+        context.store.put('servers', name, spec)
+        spec = {'max_concurrent': number, **spec}
+        context.store.put('servers', f'{name}d', spec)
+
+
+@then('the {count:d} targets are whole and no other entry names one')
+def check_nested(context, count):
+    listed = pick(context.facts, TargetsListed).targets
+    whole = [name for name, (it, _) in listed.items() if it is not UNREADABLE]
+    assert whole == [f'i-{number:08x}' for number in range(1, count + 1)]
+
+
+@then('no depth of a value between {first:d} and {last:d} raises anything')
+def check_depths(context, first, last):
+    meta = {'name': 'i-000000c1', 'revision': 7}
+    for depth in range(first, last):
+        nested = RawJson('[' * depth + ']' * depth)
+        for field in ('service', 'state', 'max_concurrent', 'warmup_left_ms'):
+            spec = {**make_spec(9), field: nested}
+            raw = encode_content({'meta': meta, 'spec': spec})
+            found, errors = load_registration(load_json(raw), 100)
+            assert found.target is None and errors
+
+
 @then('an answer with such bytes in one entry is read')
 def check_odd_bytes(context):
     digits = b'9' * 5000
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -16,6 +16,14 @@
 STEP_S = 0.02
 
 
+class RawJson:
+    """A value in the words of a writer that no JSON library would use."""
+
+    def __init__(self, text):
+        """Keep the text."""
+        self.text = text
+
+
 class ObjectStore:
     """Objects, their history and the faults of the moment.
 
@@ -194,7 +202,7 @@
         status, content = 503, {'error': 'refused'}
     else:
         status, content = carry_out(store, handler.path, body)
-    raw = json.dumps(content).encode()
+    raw = encode_content(content)
     handler.send_response(status)
     handler.send_header('Content-Type', 'application/json')
     handler.send_header('Content-Length', str(len(raw)))
@@ -204,6 +212,21 @@
     handler.wfile.write(raw)
 
 
+def encode_content(content):
+    """Encode a body as JSON, in which :class:`RawJson` stands as it is."""
+    texts = {}
+
+    def mark(found):
+        key = f'raw-json-{len(texts)}'
+        texts[f'"{key}"'] = found.text
+        return key
+
+    encoded = json.dumps(content, default=mark)
+    for key, text in texts.items():
+        encoded = encoded.replace(key, text)
+    return encoded.encode()
+
+
 def _split(path):
     parts = urlsplit(path)
     kind, _, name = parts.path[len(PREFIX) :].partition('/')
