Read at once what was missed when an instance begins to follow the store

Cause: a takeover began with a watch of 1 s, which a change of the configuration does not end, on top of the age of 1.5 to 2.1 s and the tick at which it is decided. The limit on that age reckoned with a list. An instance that follows from its start on waited in the same way.

Change: the first call of an instance that begins to follow is a watch of 1 ms, or a list if the store's last answer is 10 s old.

--- a/cornelgap/forwarding/follower.py
+++ b/cornelgap/forwarding/follower.py
@@ -5,6 +5,10 @@
 received and the time as of which that holds.  After a connection that went
 silent, a change history that the store no longer has, or a refusal by the
 store, it lists all facts again.
+
+An instance begins to follow because what it knows is old.  Its first call
+must not wait for a change, since a watch ends only with changes of targets
+and not with one of the configuration.
 """
 
 import logging
@@ -13,7 +17,7 @@
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.decisions.backoff import compute_backoff
-from cornelgap.forwarding.facts import TargetsChanged
+from cornelgap.forwarding.facts import TargetsChanged, read_clock
 from cornelgap.kernel.named_actor import NamedActor
 from cornelgap.kernel.names import tell_actor
 
@@ -34,6 +38,13 @@
 watch is shorter by the pause, so the known facts grow no older than without
 it."""
 
+CATCH_UP_S = 0.001
+"""Wait of the first watch of an instance that begins to follow."""
+
+LIST_AFTER_S = 10.0
+"""Time since the last answer after which such an instance lists all facts
+instead, because the store may have dropped the history since then."""
+
 FOLLOWER = 'follower'
 _FAILED = (
     CodedError,
@@ -93,6 +104,8 @@
         self._call_queued = False
         self._listed = False
         self._collecting = False
+        self._catching_up = False
+        self._answered_at = float('-inf')
         self._failures = 0
         self.handlers = {
             SetWatchWait: self._adopt_wait,
@@ -108,6 +121,10 @@
     def _follow(self, message):
         if self._active and not message.active:
             self._source.close()
+        if message.active and not self._active:
+            self._catching_up = True
+            if read_clock() - self._answered_at >= LIST_AFTER_S:
+                self._listed = False
         self._active = message.active
         self._queue_call()
 
@@ -143,15 +160,19 @@
             messages = self._source.list_facts()
         for message in messages:
             tell_actor(self.scope, self._receiver, message)
+        self._answered_at = read_clock()
         self._listed = True
         self._list_requested = False
+        self._catching_up = False
         if self._failures:
             self._failures = 0
             _LOG.info('follower: store is back')
 
     def _watch(self):
         wait_s = self._wait_s
-        if self._collecting:
+        if self._catching_up:
+            wait_s = CATCH_UP_S
+        elif self._collecting:
             self._pause(COLLECT_S)
             wait_s -= COLLECT_S
         messages = self._source.watch_facts(wait_s)
--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -72,6 +72,23 @@
     Then it has paused before each but the first two of them
     And no wait with its pause is longer than the longest wait
 
+  Scenario: An instance takes over from a follower that is cut off
+    Guards against a takeover that waits for a change of targets before it
+    reads a changed configuration.
+    Given a follower that has listed a quiet source at its start
+    When it begins to follow
+    Then its first call is a watch that does not wait, and its second one waits
+    When it leaves the store to others and takes over again
+    Then its first call is a watch that does not wait, and its second one waits
+
+  Scenario: An instance takes over long after it has heard the store
+    Guards against a watch of a history that the store has dropped, whose
+    refusal delays the takeover.
+    Given a follower that has listed a quiet source at its start
+    And its last answer was long ago
+    When it begins to follow
+    Then its first call is a list
+
   Scenario: An old copy of the key is as good as a fresh one
     Each instance needs the key once a start, and a fresh answer costs ten
     times as much.  That there is no key yet is believed from a fresh
--- a/features/steps/forwarding_store_steps.py
+++ b/features/steps/forwarding_store_steps.py
@@ -11,6 +11,7 @@
 
 from bench.procs import wait_for
 from cornelgap.core.errors import CodedError
+from cornelgap.forwarding import follower as follower_module
 from cornelgap.forwarding.directory_view import UNREADABLE
 from cornelgap.forwarding.facts import (
     RoutesKnown,
@@ -19,6 +20,7 @@
     ZonesDrained,
 )
 from cornelgap.forwarding.follower import (
+    CATCH_UP_S,
     COLLECT_S,
     Follow,
     Follower,
@@ -352,6 +354,78 @@
     assert context.client.calls == count
 
 
+class QuietSource:
+    """A source in which nothing changes; it tells each call."""
+
+    def __init__(self, calls, go_on):
+        self._calls = calls
+        self._go_on = go_on
+
+    def list_facts(self):
+        self._calls.put('list')
+        return [TargetsListed({}, Stamp(revision=1), 0)]
+
+    def watch_facts(self, wait_s):
+        self._calls.put(wait_s)
+        # The next call is made when the one before has been looked at.
+        self._go_on.get(timeout=WAIT_LONG_S)
+        return [TargetsChanged((), Stamp(revision=1), 0)]
+
+    def close(self):
+        """Nothing is open."""
+
+
+@given('a follower that has listed a quiet source at its start')
+def start_quiet(context):
+    context.quiet_calls = queue.SimpleQueue()
+    context.go_on = queue.SimpleQueue()
+    follower = Follower.start(
+        'store-test',
+        QuietSource(context.quiet_calls, context.go_on),
+        'nobody',
+        PATIENT_S,
+        random.Random(1),
+        time.sleep,
+    )
+    context.follower = follower
+    context.cleanups.append(lambda: follower.stop(block=False))
+    follower.tell(ListOnce())
+    assert context.quiet_calls.get(timeout=WAIT_LONG_S) == 'list'
+
+
+@given('its last answer was long ago')
+def forget_answer(context):
+    before = follower_module.LIST_AFTER_S
+    follower_module.LIST_AFTER_S = 0
+    context.cleanups.append(
+        lambda: setattr(follower_module, 'LIST_AFTER_S', before)
+    )
+
+
+@when('it begins to follow')
+def begin_to_follow(context):
+    context.follower.tell(Follow(True))
+
+
+@when('it leaves the store to others and takes over again')
+def take_over_again(context):
+    for active in (False, True):
+        context.follower.tell(Follow(active))
+    context.go_on.put(None)
+
+
+@then('its first call is a watch that does not wait, and its second one waits')
+def check_first_calls(context):
+    assert context.quiet_calls.get(timeout=WAIT_LONG_S) <= CATCH_UP_S
+    context.go_on.put(None)
+    assert context.quiet_calls.get(timeout=WAIT_LONG_S) == PATIENT_S
+
+
+@then('its first call is a list')
+def check_first_list(context):
+    assert context.quiet_calls.get(timeout=WAIT_LONG_S) == 'list'
+
+
 class FailingSource:
     """A source whose calls bring no answer, or one that cannot be read."""
 
