Move the lookup of a flow's target out of the engine

Cause: the engine had grown by the sources from which the target of an open flow is known, and their order was spread over four of its methods.

Change: cornelgap/forwarding/flow_lookup.py holds them, with the exchange of owners. No change of behaviour.

--- a/cornelgap/forwarding/engine.py
+++ b/cornelgap/forwarding/engine.py
@@ -21,22 +21,16 @@
 )
 from cornelgap.forwarding.failure_detector import FailureDetector
 from cornelgap.forwarding.flow_evidence import FlowEvidence
-from cornelgap.forwarding.flow_owners import FlowOwners
+from cornelgap.forwarding.flow_lookup import FlowLookup
 from cornelgap.forwarding.flows import FlowTable
-from cornelgap.forwarding.handshake_cookies import (
-    make_handshake_cookie,
-    read_handshake_cookie,
-)
+from cornelgap.forwarding.handshake_cookies import make_handshake_cookie
 from cornelgap.forwarding.lifetimes import is_gone, list_restarted
 from cornelgap.forwarding.openings import OpeningTracker
 from cornelgap.forwarding.packet_checks import (
-    choose_cookie,
     is_early_copy,
     is_established,
     is_from_target,
     is_late_copy,
-    is_misleading,
-    is_same_flow,
     may_have_overtaken,
     order_services,
     was_forwarded,
@@ -68,10 +62,6 @@
 causes the first copy, is common on congested links; one that is 0.6 s late,
 which causes the second, is not."""
 
-MAX_ANSWERING_RANK = 4
-"""Number of instances of a zone that answer queries for flows that they know
-from reports only."""
-
 OPEN_RATE_WEIGHT = 0.3
 """Weight of the last second in the moving average of new flows a second."""
 
@@ -104,9 +94,8 @@
         self.fresh_until = float('-inf')
         self._distrusted_at = float('-inf')
         self.flows = FlowTable()
-        self.owners = FlowOwners()
+        self.lookup = FlowLookup(self.flows)
         self.plain_cookies = False
-        self._rank = 0
         self._remote_flows = {}
         self._instances = 1
         self._report_age_s = INITIAL_REPORT_AGE_S
@@ -191,7 +180,7 @@
         self._remote_flows = loads
         self._instances = instances
         self._report_age_s = report_interval_s * REPORT_AGE_INTERVALS
-        self._rank = rank
+        self.lookup.rank = rank
         self.failure_detector.set_instances(instances, rank)
 
     def set_cold_limit(self, limit):
@@ -233,32 +222,6 @@
         """Record requests that have waited too long as failed."""
         self._evidence.note_overdue(now)
 
-    def note_owner_reports(self, reports, now):
-        """Record the owners of flows that another instance has reported.
-
-        :param reports: as :meth:`FlowOwners.take_message` returns them.
-        """
-        for *flow, cookie, syn_seq in reports:
-            self.owners.learn(tuple(flow), cookie, syn_seq, now)
-
-    def list_owners(self, queries, now):
-        """Return reports for the queries of another instance.
-
-        A flow that passes through this instance is always reported.  What
-        this one has learned itself is known to most others as well, so only
-        the first few instances report it.
-
-        :param queries: as :meth:`FlowOwners.take_message` returns them.
-        """
-        answers = (
-            (flow, self._find_owner(tuple(flow), now)) for flow in queries
-        )
-        return [
-            [*flow, owner.cookie, owner.syn_seq]
-            for flow, owner in answers
-            if owner is not None
-        ]
-
     def distrust_directory(self, now):
         """Place no new flow until the directory is confirmed anew.
 
@@ -314,7 +277,7 @@
     def expire(self, now):
         """Forget flows without recent packets."""
         self.flows.expire(now)
-        self.owners.expire(now)
+        self.lookup.owners.expire(now)
 
     def _record_answer_size(self, key, flow, size):
         target = self.view.by_cookie.get(flow.cookie)
@@ -342,7 +305,7 @@
                 return Drop(Reason.NOT_FRESH)
             return Reset(packet.ack, Reason.NO_ROUTE)
         known = self.flows.find(packet.flow)
-        opened = self._find_opened(packet.flow, known, now)
+        opened = self.lookup.find_open(packet.flow, known, now)
         if is_late_copy(packet, opened):
             return Drop(Reason.ALREADY_OPEN)
         if is_established(known):
@@ -367,15 +330,10 @@
             return self._refuse_opening(route, packet, now)
         if not packet.ack:
             self.openings.note_placed(self.view, route, target, now)
-        self.flows.note_open(packet.flow, packet, target.cookie, now)
+        self.flows.note_open(packet, target.cookie, now)
         reason = Reason.MOVED_ON if tried else Reason.PLACED
         return self._forward_opening(packet, target, reason, now)
 
-    def _find_opened(self, flow, known, now):
-        if is_established(known):
-            return known
-        return self.owners.find(flow, now)
-
     def _forward_opening(self, packet, target, reason, now):
         if self.view.is_cold(target, now):
             self._cold_starts.note_open(target.cookie, now)
@@ -530,7 +488,7 @@
 
     def _handle_open_flow(self, packet, now):
         known = self.flows.find(packet.flow)
-        cookie = self._find_cookie(packet, known, now)
+        cookie = self.lookup.find_cookie(packet, known, self.view, now)
         if not cookie:
             return Drop(Reason.NO_COOKIE)
         place = (packet.destination, packet.destination_port)
@@ -546,50 +504,20 @@
             return Reset(packet.ack, Reason.TARGET_SILENT)
         return Forward(target, Reason.KNOWN, cookie)
 
-    def _find_cookie(self, packet, known, now):
-        """Return the cookie of the target on which a packet's flow is open.
-
-        If that target is not known, it is the cookie of the packet.
-        """
-        cookie = choose_cookie(packet, known)
-        if is_established(known) or not cookie or self.view.has_cookie(cookie):
-            return cookie
-        owner = self.owners.find(packet.flow, now)
-        handshake_cookie = read_handshake_cookie(packet)
-        if self.view.has_cookie(handshake_cookie):
-            if owner is None or not is_same_flow(packet, owner):
-                return handshake_cookie
-        owner = owner or self.flows.find_idle(packet.flow)
-        return cookie if owner is None else owner.cookie
-
-    def _find_owner(self, flow, now):
-        known = self.flows.find(flow)
-        if is_established(known) and not known.closed:
-            return known
-        idle = self.flows.find_idle(flow)
-        if idle is not None or self._rank >= MAX_ANSWERING_RANK:
-            return idle
-        return self.owners.find(flow, now)
-
     def _note_open_flow(self, packet, known, target, now):
-        """Record a packet; report the flow's owner if others may mistake it."""
-        was_opening = known is not None and not known.established
+        was_open = is_established(known)
         self._evidence.note_packet(packet, target.cookie, target, now)
-        if known is None:
-            return
-        if was_opening:
-            misleads = known.ambiguous
-        else:
-            misleads = is_misleading(packet, known)
-        if misleads:
-            self.owners.report(packet.flow, known.cookie, known.syn_seq, now)
+        if was_open:
+            self.lookup.note_packet(packet, known, now)
+        elif known is not None:
+            self.lookup.note_opened(packet.flow, known, now)
 
     def _handle_missing_target(self, packet, known, cookie, now):
         if cookie in self.view.by_cookie:
             return Drop(Reason.AMBIGUOUS_COOKIE)
         if not is_gone(self.view, cookie):
             if not may_have_overtaken(known, now):
-                self.owners.ask(packet.flow, now)
+                self.lookup.owners.ask(packet.flow, now)
             return Drop(Reason.UNKNOWN_TARGET)
         if packet.flags & pkt.RST:
             return Drop(Reason.TARGET_GONE)
--- a/cornelgap/forwarding/flows.py
+++ b/cornelgap/forwarding/flows.py
@@ -157,8 +157,9 @@
             if flow.cookie in cookies
         ]
 
-    def note_open(self, key, packet, cookie, now):
+    def note_open(self, packet, cookie, now):
         """Record that a SYN was forwarded to a target."""
+        key = packet.flow
         flow = self._flows.get(key)
         if flow is None:
             flow = self._add(key, cookie, now)
--- a/cornelgap/forwarding/packet_actor.py
+++ b/cornelgap/forwarding/packet_actor.py
@@ -331,16 +331,18 @@
             self._reset_lost_flows()
 
     def _exchange_owners(self):
-        reports, queries = self._engine.owners.take_message(self._turn_at)
+        reports, queries = self._engine.lookup.owners.take_message(
+            self._turn_at
+        )
         if reports or queries:
             self._tell(LocalOwners(reports, queries))
 
     def _note_peer_owners(self, message):
         now = self._turn_at
-        self._engine.note_owner_reports(message.reports, now)
+        self._engine.lookup.note_reports(message.reports, now)
         for *flow, _cookie, _syn_seq in message.reports:
             self._handle_held_packets(tuple(flow))
-        answers = self._engine.list_owners(message.queries, now)
+        answers = self._engine.lookup.answer_queries(message.queries, now)
         if answers:
             self._tell(OwnerAnswers(message.host, message.zone, answers))
 
--- a/features/proofs/split_flow_stories.py
+++ b/features/proofs/split_flow_stories.py
@@ -85,11 +85,11 @@
 
 def exchange(sender, *receivers):
     """Send an instance's reports and queries, and the answers to them."""
-    reports, queries = sender.engine.owners.take_message(sender.now)
+    reports, queries = sender.engine.lookup.owners.take_message(sender.now)
     for desk in receivers:
-        desk.engine.note_owner_reports(reports, desk.now)
-        answers = desk.engine.list_owners(queries, desk.now)
-        sender.engine.note_owner_reports(answers, sender.now)
+        desk.engine.lookup.note_reports(reports, desk.now)
+        answers = desk.engine.lookup.answer_queries(queries, desk.now)
+        sender.engine.lookup.note_reports(answers, sender.now)
 
 
 def split_flow():
--- a/features/proofs/split_flow_world.py
+++ b/features/proofs/split_flow_world.py
@@ -208,7 +208,7 @@
 
     def _exchange(self, number):
         engine = self._instances[number].desk.engine
-        reports, queries = engine.owners.take_message(self.now)
+        reports, queries = engine.lookup.owners.take_message(self.now)
         if not reports and not queries:
             return
         self.counts['messages'] += 1
@@ -226,8 +226,8 @@
                 self._at(instance.frozen_until - self.now, take)
                 return
             engine = instance.desk.engine
-            engine.note_owner_reports(reports, self.now)
-            answers = engine.list_owners(queries, self.now)
+            engine.lookup.note_reports(reports, self.now)
+            answers = engine.lookup.answer_queries(queries, self.now)
             if answers:
                 self._tell(sender, answers, [], number)
 
