Test again that an open flow's packet carries its target's cookie, never 0

Cause: when encode_forward got the cookie as an argument, its property lost "target.cookie != 0", and nothing tested any more that a packet of an open flow carries the cookie of the target that it is sent to; the engine decides that now.

Change: the property of encode_forward has its bound back, and the property of the engine checks the cookie of each effect.

Result: both pass; they fail on an engine that keeps the caller's cookie, and on make_cookie without its replacement of 0.

--- a/features/steps/forwarding_property_steps.py
+++ b/features/steps/forwarding_property_steps.py
@@ -17,6 +17,7 @@
     Outcomes,
     find_median_without,
 )
+from cornelgap.forwarding import packets as pkt
 from cornelgap.forwarding import peer_messages as peers
 from cornelgap.forwarding.directory import Directory
 from cornelgap.forwarding.directory_view import (
@@ -141,6 +142,7 @@
         assert int.from_bytes(sent[:8], 'big') == identity
         assert sent[8:26] == raw[:18]
         assert int.from_bytes(sent[26:30], 'big') == cookie
+        assert target.cookie != 0
         assert sent[30:] == raw[22:]
 
     search()
@@ -392,6 +394,10 @@
                 desk.change('i-00000002', make_target(4, draining=True))
             effect = desk.put(packet)
             assert isinstance(effect, (Forward, Reset, Drop))
+            if isinstance(effect, Forward):
+                assert effect.cookie != 0
+                is_syn = packet.flags & pkt.SYN
+                assert is_syn or effect.cookie == effect.target.cookie
             desk.engine.take_lost_flows(desk.now)
             for load in desk.engine.flows.loads.values():
                 assert load.flows >= 0
