Share the list of hubs, the sequence mask and the rows of a message

The text on flow_lookup left out where the handshake cookie counts.

Change: Neighbours has one list of hubs, packets.py has the mask, and flow_owners one function that takes rows. No change of behaviour.

--- a/cornelgap/forwarding/flow_evidence.py
+++ b/cornelgap/forwarding/flow_evidence.py
@@ -11,9 +11,6 @@
 from cornelgap.forwarding.packet_checks import is_repeat
 from cornelgap.forwarding.request_watch import RequestWatch
 
-SEQUENCE_MASK = 0xFFFFFFFF
-"""TCP sequence numbers have 32 bits and wrap around."""
-
 
 class FlowEvidence:
     """Reads callers' packets and reports to the failure detector.
@@ -114,7 +111,7 @@
             return
         if not closing and not is_next_request(packet, known):
             return
-        size = (packet.ack - known.request_ack) & SEQUENCE_MASK
+        size = (packet.ack - known.request_ack) & pkt.SEQUENCE_MASK
         if size and known.waited_s is not None:
             self._on_answer(packet.flow, known, size)
         if not size or self._request_watch.note_size(packet.flow, size):
--- a/cornelgap/forwarding/flow_lookup.py
+++ b/cornelgap/forwarding/flow_lookup.py
@@ -1,8 +1,9 @@
 """Lookup of the target on which a flow is open.
 
 The sources are, in this order: the record of a flow that this instance has
-seen open, the cookie of the packet, the report of another instance, and the
-record of a flow that has been idle.
+seen open, the cookie of the packet, the report of another instance, the
+handshake cookie of the packet, and the record of a flow that has been idle.
+A report on an earlier flow with the same key comes after the handshake cookie.
 """
 
 from cornelgap.forwarding.flow_owners import FlowOwners
--- a/cornelgap/forwarding/flow_owners.py
+++ b/cornelgap/forwarding/flow_owners.py
@@ -122,7 +122,7 @@
         """Ask the other instances for an owner, unless that was done just now."""
         has_room = len(self._queries) < MAX_PENDING
         if has_room and self._query_spacing.take(flow, now):
-            self._queries[flow] = None
+            self._queries[flow] = ()
 
     def take_message(self, now):
         """Return what is to be sent now, and mark it as sent.
@@ -133,13 +133,8 @@
         """
         if now - self._message_at < MESSAGE_INTERVAL_S:
             return [], []
-        reports = [
-            [*flow, *self._reports.pop(flow)]
-            for flow in list(self._reports)[:MAX_ROWS]
-        ]
-        queries = [list(flow) for flow in list(self._queries)[:MAX_ROWS]]
-        for query in queries:
-            self._queries.pop(tuple(query))
+        reports = _take_rows(self._reports)
+        queries = _take_rows(self._queries)
         if reports or queries:
             self._message_at = now
         return reports, queries
@@ -153,3 +148,8 @@
             self._owners.pop(flow)
         self._report_spacing.expire(now)
         self._query_spacing.expire(now)
+
+
+def _take_rows(pending):
+    """Remove some flows and what is to be sent of them, as rows."""
+    return [[*flow, *pending.pop(flow)] for flow in list(pending)[:MAX_ROWS]]
--- a/cornelgap/forwarding/handshake_cookies.py
+++ b/cornelgap/forwarding/handshake_cookies.py
@@ -16,7 +16,8 @@
 import struct
 import zlib
 
-SEQUENCE_MASK = 0xFFFFFFFF
+from cornelgap.forwarding.packets import SEQUENCE_MASK
+
 _HANDSHAKE = struct.Struct('>IHIHI')
 """Both ends' addresses and ports, and the sequence number of the SYN."""
 
--- a/cornelgap/forwarding/neighbours.py
+++ b/cornelgap/forwarding/neighbours.py
@@ -253,12 +253,8 @@
     def list_beat_hosts(self):
         """Return the hosts of this zone that get the regular beat."""
         if self.is_hub:
-            return [member.host for member in self._list_zone_members()]
-        return [
-            self._members[name].host
-            for name in self._hubs
-            if name in self._members
-        ]
+            return self.list_zone_hosts()
+        return self._list_hub_hosts()
 
     def list_load_hosts(self):
         """Return the hosts that get this instance's load reports."""
@@ -275,8 +271,7 @@
         """
         if self.count_zone() <= LARGE_ZONE_SIZE:
             return self.list_zone_hosts(), self.list_other_zone_hubs()
-        hubs = [name for name in self._hubs if name in self._members]
-        return [self._members[name].host for name in hubs], []
+        return self._list_hub_hosts(), []
 
     def list_zone_hosts(self):
         """Return the hosts of all other instances of this zone."""
@@ -383,10 +378,9 @@
             add_loads(total, self.sum_other_zone_loads(now))
             return total
         hubs = [
-            self._members[name]
-            for name in self._hubs
-            if name in self._members
-            and now - self._members[name].zone_loads_at < LOAD_MAX_AGE_S
+            member
+            for member in self._list_hubs()
+            if now - member.zone_loads_at < LOAD_MAX_AGE_S
         ]
         if not hubs:
             return {}
@@ -425,6 +419,14 @@
             if member.zone == self.zone
         ]
 
+    def _list_hubs(self):
+        """Return the other instances that are hubs of this zone."""
+        hubs = map(self._members.get, self._hubs)
+        return [member for member in hubs if member is not None]
+
+    def _list_hub_hosts(self):
+        return [member.host for member in self._list_hubs()]
+
     def _rank_zone(self):
         capacities = {
             member.name: member.capacity for member in self._list_zone_members()
--- a/cornelgap/forwarding/packets.py
+++ b/cornelgap/forwarding/packets.py
@@ -13,6 +13,9 @@
 FIN = 4
 RST = 8
 
+SEQUENCE_MASK = 0xFFFFFFFF
+"""TCP sequence numbers have 32 bits and wrap around."""
+
 
 class Packet(Struct):
     """One decoded packet from a caller.
