Share steps of the process tests and the desk of two kinds of stories

Cause: the tests of split flows had a start of an engine of their own, beside that of the forwarding stories with the same four targets, three steps repeated "ask all, wait, count", and three waited for one instance's readiness in words of their own. The virtual world kept two fields that nothing read, and a scenario's name spoke of a message that it doesn't test.

Change: start_desk takes a seed, and ask_again and wait_until_ready serve all steps; the fields are gone; the scenario has the name of its check. Assertions are as they were.

--- a/features/forwarding_store.feature
+++ b/features/forwarding_store.feature
@@ -144,8 +144,8 @@
       | 2000   |
       | 100000 |
 
-  Scenario: The message on a nested value is as short as its depth is great
-    Guards against a message that nests as deeply as the value itself.
+  Scenario: A nested value of any depth is refused as a field
+    Guards against depths that the parser reads and a later step does not.
     Then no depth of a value between 850 and 1010 raises anything
 
   Scenario: An order to drain a zone is heard from the revision alone
--- a/features/proofs/forwarding_stories.py
+++ b/features/proofs/forwarding_stories.py
@@ -32,9 +32,9 @@
 KEY = b'k' * 32
 
 
-def start_desk(*targets):
+def start_desk(*targets, seed=1):
     """Start an engine that knows one route and some targets."""
-    desk = Desk()
+    desk = Desk(seed)
     desk.set_routes(make_route('search'))
     desk.set_targets(*(targets or SEARCH))
     return desk
--- a/features/proofs/split_flow_stories.py
+++ b/features/proofs/split_flow_stories.py
@@ -10,16 +10,13 @@
 from cornelgap.forwarding.neighbours import InstanceIdentity, Neighbours
 from cornelgap.forwarding.peer_messages import Beat
 from features.proofs.forwarding_desk import (
-    Desk,
     get_target,
     got_reset,
     make_packet,
-    make_route,
-    make_target,
 )
+from features.proofs.forwarding_stories import SEARCH, start_desk
 from features.proofs.split_flow_world import Chances, World
 
-TARGETS = tuple(make_target(number) for number in range(1, 5))
 CALLER = 40001
 SYN_SEQ = 0xFFFFFFF0
 """Near the end of the sequence numbers, so that they wrap around."""
@@ -29,18 +26,6 @@
 PLAY_S = 30
 
 
-def start_desk(*first, rng_seed=1):
-    """Start an engine.
-
-    :param first: the targets that it knows when it places a flow; all, if
-        none is named.
-    """
-    desk = Desk(rng_seed)
-    desk.set_routes(make_route('search'))
-    desk.set_targets(*(first or TARGETS))
-    return desk
-
-
 def open_on(desk, target, copy=0):
     """Let an instance forward a SYN, or a copy of it, to a certain target.
 
@@ -49,7 +34,7 @@
     desk.set_targets(target)
     effect = desk.put(make_syn(copy))
     assert get_target(effect) == target
-    desk.set_targets(*TARGETS)
+    desk.set_targets(*SEARCH)
     return effect.cookie
 
 
@@ -101,11 +86,11 @@
         cookie of the first target's next SYN+ACK).
     """
     first, second = start_desk(), start_desk()
-    late_cookie = open_on(first, TARGETS[0])
+    late_cookie = open_on(first, SEARCH[0])
     for desk in (first, second):
         desk.pass_time(0.2)
-    cookie = open_on(second, TARGETS[1], copy=1)
-    assert establish(second, cookie) == TARGETS[1]
+    cookie = open_on(second, SEARCH[1], copy=1)
+    assert establish(second, cookie) == SEARCH[1]
     return first, second, late_cookie
 
 
@@ -132,7 +117,7 @@
     found = []
     for desk in (first, start_desk()):
         effect = send(desk, late_cookie, FIRST_BYTES, size=50)
-        found += find_misled(effect, TARGETS[1])
+        found += find_misled(effect, SEARCH[1])
     return found
 
 
@@ -155,7 +140,7 @@
     first, second, late_cookie = split_flow()
     exchange(second, first)
     effect = send(first, late_cookie, FIRST_BYTES, size=50)
-    return find_lost(effect, TARGETS[1])
+    return find_lost(effect, SEARCH[1])
 
 
 def play_owner_reported_before_first_answer():
@@ -163,7 +148,7 @@
     first, second, late_cookie = split_flow()
     exchange(second, first)
     effect = send(first, late_cookie, size=FIRST_BYTES)
-    return find_lost(effect, TARGETS[1])
+    return find_lost(effect, SEARCH[1])
 
 
 def play_owner_asked():
@@ -172,45 +157,45 @@
     exchange(second, first)
     young = start_desk()
     found = find_misled(
-        send(young, late_cookie, FIRST_BYTES, size=50), TARGETS[1]
+        send(young, late_cookie, FIRST_BYTES, size=50), SEARCH[1]
     )
     exchange(young, first)
     effect = send(young, late_cookie, FIRST_BYTES, size=50)
-    return found + find_lost(effect, TARGETS[1])
+    return found + find_lost(effect, SEARCH[1])
 
 
 def play_first_target_accepted():
     """The SYN+ACK of the first target was late, and that of the copy is."""
     first, second = start_desk(), start_desk()
-    cookie = open_on(first, TARGETS[0])
+    cookie = open_on(first, SEARCH[0])
     second.pass_time(0.2)
-    late_cookie = open_on(second, TARGETS[1], copy=1)
-    assert establish(second, cookie) == TARGETS[0]
+    late_cookie = open_on(second, SEARCH[1], copy=1)
+    assert establish(second, cookie) == SEARCH[0]
     exchange(second, first)
     effect = send(first, late_cookie, FIRST_BYTES, size=50)
-    return find_lost(effect, TARGETS[0])
+    return find_lost(effect, SEARCH[0])
 
 
 def play_misled_packet_reported():
     """A copy is placed after the flow was opened through another instance."""
     first, second = start_desk(), start_desk()
-    assert establish(first, open_on(first, TARGETS[0])) == TARGETS[0]
-    late_cookie = open_on(second, TARGETS[1], copy=1)
+    assert establish(first, open_on(first, SEARCH[0])) == SEARCH[0]
+    late_cookie = open_on(second, SEARCH[1], copy=1)
     send(first, late_cookie, FIRST_BYTES, size=50)
     exchange(first, second)
     effect = send(second, late_cookie, FIRST_BYTES + 50, size=50)
-    return find_lost(effect, TARGETS[0])
+    return find_lost(effect, SEARCH[0])
 
 
 def play_misled_after_pause():
     """A caller has been idle for longer than its flow counts as active."""
     desk = start_desk()
-    assert establish(desk, open_on(desk, TARGETS[0])) == TARGETS[0]
-    late_cookie = open_on(start_desk(), TARGETS[1], copy=1)
+    assert establish(desk, open_on(desk, SEARCH[0])) == SEARCH[0]
+    late_cookie = open_on(start_desk(), SEARCH[1], copy=1)
     desk.pass_time(8)
     desk.confirm()
     effect = send(desk, late_cookie, FIRST_BYTES, size=50)
-    return find_lost(effect, TARGETS[0])
+    return find_lost(effect, SEARCH[0])
 
 
 def play_key_used_again():
@@ -218,10 +203,10 @@
     first, second, _ = split_flow()
     exchange(second, first)
     syn_seq = 5000
-    other = start_desk(TARGETS[3])
+    other = start_desk(SEARCH[3])
     effect = other.put(make_syn(seq=syn_seq))
     effect = send(first, effect.cookie, syn_seq=syn_seq)
-    return find_lost(effect, TARGETS[3])
+    return find_lost(effect, SEARCH[3])
 
 
 def play_request_of_two_packets():
@@ -239,7 +224,7 @@
     """Copies of a SYN are handled after its flow was opened."""
     found = []
     for seed in range(50):
-        desk = start_desk(rng_seed=seed)
+        desk = start_desk(seed=seed)
         owner = establish(desk, desk.put(make_syn()).cookie)
         for copy in (1, 2):
             effect = desk.put(make_syn(copy))
@@ -253,7 +238,7 @@
 def play_syn_after_report():
     """A SYN has waited in an instance that stood still."""
     first, second = start_desk(), start_desk()
-    assert establish(second, open_on(second, TARGETS[1], copy=1)) == TARGETS[1]
+    assert establish(second, open_on(second, SEARCH[1], copy=1)) == SEARCH[1]
     exchange(second, first)
     if get_target(first.put(make_syn())) is not None:
         return ['a SYN of an open flow went to a second target']
--- a/features/proofs/split_flow_world.py
+++ b/features/proofs/split_flow_world.py
@@ -69,7 +69,6 @@
     seq: int
     cookie: int
     opened: bool = False
-    last: tuple = ()
     repeats: int = 0
 
 
@@ -87,7 +86,6 @@
     cookie: int = 0
     ack: int = 0
     owner: int | None = None
-    answered_seq: int = 0
     requests: int = 0
     waiting: int = 0
     sent_at: float = 0
@@ -268,7 +266,6 @@
             return
         if held is not None and not held.opened and packet.ack == held.seq + 1:
             held.opened = True
-            held.last = ()
             self._note_owner(packet.source_port, number)
         if held is None or not held.opened:
             self._at(
@@ -402,7 +399,8 @@
             return
         self._put(flow, pkt.ACK, REQUEST_BYTES)
         self._at(
-            pause_s, lambda: self._ask(flow, number, min(2 * pause_s, 1.6))
+            pause_s,
+            lambda: self._ask(flow, number, min(2 * pause_s, MAX_REPEAT_S)),
         )
 
     def _get_reset(self, port, number, sender=None):
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -161,6 +161,11 @@
     return all(ask_ready((host, context.ports['ready'])) for host in HOSTS)
 
 
+def wait_until_ready(context, name):
+    address = (context.hosts[name], context.ports['ready'])
+    wait_for(lambda: ask_ready(address), WAIT_S, 'the instance is ready')
+
+
 def open_flows(context, count, services=('search', 'archive')):
     callers = context.world.callers
     flows = []
@@ -199,6 +204,12 @@
     )
 
 
+def ask_again(context):
+    ask_all(context, b'request %d' % context.asked)
+    wait_for_answers(context)
+    context.asked += 1
+
+
 @when('{count:d} flows are opened and each makes {requests:d} request')
 @when('{count:d} flows are opened and each makes {requests:d} requests')
 def run_flows(context, count, requests):
@@ -233,9 +244,7 @@
     for number in range(rounds):
         if number == 2:
             action()
-        ask_all(context, b'request %d' % context.asked)
-        wait_for_answers(context)
-        context.asked += 1
+        ask_again(context)
         time.sleep(0.2)
 
 
@@ -278,8 +287,7 @@
 def replace_instance(context, name):
     kill(context.procs[name])
     start_instance(context, name)
-    address = (context.hosts[name], context.ports['ready'])
-    wait_for(lambda: ask_ready(address), WAIT_S, 'the instance is ready')
+    wait_until_ready(context, name)
 
 
 def send_all_to(context, host):
@@ -298,12 +306,6 @@
     return sum(len(target.flows) for target in context.targets.values())
 
 
-def ask_again(context):
-    ask_all(context, b'request %d' % context.asked)
-    wait_for_answers(context)
-    context.asked += 1
-
-
 @when('all instances are paused, asked to stop and continued')
 def stop_paused(context):
     procs = context.procs.values()
@@ -346,11 +348,7 @@
 
 @then('it becomes ready')
 def check_ready(context):
-    wait_for(
-        lambda: ask_ready((HOSTS[0], context.ports['ready'])),
-        WAIT_S,
-        'the instance is ready',
-    )
+    wait_until_ready(context, 'n1')
 
 
 @then('it ends by itself within its grace period')
@@ -453,9 +451,7 @@
     ]
     assert held
     context.flows = [('search', flow) for flow in held]
-    ask_all(context, b'request 1')
-    wait_for_answers(context)
-    context.asked += 1
+    ask_again(context)
     check_answers(context)
 
 
@@ -537,9 +533,7 @@
     context.store.silent = True
     kill(context.procs['n1'])
     start_instance(context, 'n1')
-    ask_all(context, b'request 1')
-    wait_for_answers(context)
-    context.asked += 1
+    ask_again(context)
 
 
 @then('the flows go on through all instances')
@@ -549,8 +543,7 @@
 
 @then('the restarted instance serves again without the store')
 def check_restarted(context):
-    address = (context.hosts['n1'], context.ports['ready'])
-    wait_for(lambda: ask_ready(address), WAIT_S, 'the instance is ready')
+    wait_until_ready(context, 'n1')
     run_flows(context, 20, 1)
     check_all_well(context)
 
