Name the type of an unexpected value instead of quoting it

What callers would see: nothing yet on this Python. A registration whose field is nested more deeply than the recursion limit raises RecursionError while its own error message is made; the loader expects no such error, and the answer with all other targets fails.

Cause: the message quotes the value with repr(), which descends into it. That the parser refuses such depths first holds only while both use the same limit: Python 3.13's parser reads 2,000 levels.

Change: a list or an object is told by its type.

Result: "A nested value is told without being quoted" raises RecursionError without the change, and passes with it.

--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -305,6 +305,9 @@
 
 def _shorten(found):
     """Quote an unexpected value without filling the log with it."""
+    if isinstance(found, (dict, list)):
+        # Quoting descends into nested values, beyond the recursion limit.
+        return f'a {type(found).__name__}'
     return repr(found)[:MAX_QUOTED]
 
 
