Leave out a route with a field of another type, alone

What callers saw: a configuration with one route whose `service` (or that of a split) is a list or an object ends all processes with exit code 3 as soon as a view with it is used, again at each start; nothing is served.

Cause: the loader checked neither the types of a route's services nor their weights. The packet actor uses the service as a key, and adds the weights up.

Change: name, services and weights are read with the checks that registrations use, and an error names the field. A rest that rounding leaves when fractional weights are taken off chooses the first service instead of raising.

--- a/cornelgap/forwarding/packet_checks.py
+++ b/cornelgap/forwarding/packet_checks.py
@@ -150,4 +150,5 @@
         point -= weight
         if point < 0:
             return names[position:] + names[:position]
-    raise ValueError('a route needs positive weights')
+    # Rounding of fractional weights has left a rest.
+    return names
--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -43,6 +43,9 @@
 MAX_PER_S = 1_000_000
 """Far above the flows of any target; what is more is a mistake."""
 
+MAX_WEIGHT = 1_000_000
+"""Largest weight of a service within a split."""
+
 MAX_PRIORITY = 1000
 MAX_TIMEOUT_MS = 86_400_000
 """A day; callers give a request up after seconds."""
@@ -104,24 +107,43 @@
 def _load_route(item, policy):
     # The wire's `host` and `path_prefix` are an address and a port here.
     split = item.get('split') or [{'service': item['service'], 'weight': 1}]
-    weighted_services = tuple(
-        (share['service'], share['weight'])
+    shares = [
+        (
+            _read_field(share, 'service', check_text),
+            _read_field(share, 'weight', _read_weight),
+        )
         for share in split
-        if share['weight'] > 0
-    )
+    ]
+    weighted_services = tuple(share for share in shares if share[1] > 0)
     if not weighted_services:
         # Choosing among none would end the packet actor, on all instances
         # at the same moment.
         raise ValueError('no service has a weight')
     return Route(
-        name=item['name'],
-        address=parse_ip(item['host']),
-        port=int(item['path_prefix'].strip('/')),
+        name=_read_field(item, 'name', check_text),
+        address=_read_field(item, 'host', parse_ip),
+        port=_read_field(item, 'path_prefix', _read_prefix),
         weighted_services=weighted_services,
         policy=policy,
     )
 
 
+def _read_field(item, field, read):
+    """Read one field of a route; an error names the field."""
+    try:
+        return read(item[field])
+    except _MALFORMED as exc:
+        raise ValueError(f'{field}: {exc}') from exc
+
+
+def _read_prefix(found):
+    return int(found.strip('/'))
+
+
+def _read_weight(found):
+    return check_number(found, MAX_WEIGHT)
+
+
 def load_version(spec):
     """Load the operator's number of a configuration.
 
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -65,6 +65,15 @@
     And the flows that the target holds go on
     And no instance has ended
 
+  Scenario: A route names a list as its service
+    Guards against a field of another type that ends all instances.
+    When 40 flows are opened and each makes 1 request
+    And a target drains and a route gives way to one whose service is a list
+    Then within 3 s no new flow reaches the target or the route
+    And flows of the route to a list are refused
+    And the flows that the target holds go on
+    And no instance has ended
+
   Scenario: An operator drains a zone and takes it back
     Its machines are about to go.  The order goes to one instance that
     follows the store; a feed that another one opens there is cut off.
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -1,11 +1,36 @@
 """Steps on entries and answers of other writers."""
 
-from behave import then
+import json
 
-from cornelgap.platform.objects import load_registration
+from behave import given, then
+
+from cornelgap.core.errors import Code
+from cornelgap.platform.objects import load_registration, load_routes
 from features.proofs import foreign_entries as foreign
 
 
+@given('the configuration has a second route whose {field} is {value}')
+def add_bad_route(context, field, value):
+    # Read as the product does: 1e999 is a number there.
+    found = json.loads(value)
+    route = foreign.make_route(80)
+    share = {'service': 'search', 'weight': 1}
+    if field in share:
+        route['split'] = [{**share, field: found}]
+    else:
+        route[field] = found
+    routes = [foreign.make_route(443), route]
+    context.routes = routes
+    context.store.put('config', 'main', {'version': 2, 'routes': routes})
+
+
+@then('the error names "{place}" and "{field}"')
+def check_named(context, place, field):
+    _, (exc,) = load_routes({'routes': context.routes})
+    assert exc.code == Code.CFG_BAD_VALUE
+    assert place in exc.place and field in exc.text, exc
+
+
 @then('a registration with any field nested {depth:d} deep names no target')
 def check_deep_fields(context, depth):
     nested = []
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -35,7 +35,13 @@
 CALLERS_HOST = f'{NET}.2'
 HOSTS = (f'{NET}.11', f'{NET}.12', f'{NET}.13')
 ROUTE = parse_ip('198.18.0.1')
-PLACES = {'search': (ROUTE, 443), 'archive': (ROUTE, 80)}
+PLACES = {
+    'search': (ROUTE, 443),
+    'archive': (ROUTE, 80),
+    'listed': (ROUTE, 8080),
+}
+BAD_SERVICES = {'listed': ['search']}
+"""Services of another type than the pages name, by route."""
 SERVICES = {1: 'search', 2: 'search', 3: 'archive', 4: 'archive'}
 
 SETTINGS = """
@@ -63,7 +69,7 @@
             'name': f'r-{service}',
             'host': '198.18.0.1',
             'path_prefix': f'/{PLACES[service][1]}/',
-            'service': service,
+            'service': BAD_SERVICES.get(service, service),
         }
         for service in services
     ]
@@ -425,6 +431,20 @@
     context.changed_at = time.monotonic()
 
 
+@when('a target drains and a route gives way to one whose service is a list')
+def replace_route(context):
+    put_target(context, context.targets[1], 'draining')
+    put_config(context, 'search', 'listed')
+    context.changed_at = time.monotonic()
+
+
+@then('flows of the route to a list are refused')
+def check_listed(context):
+    flows = open_flows(context, 12, ['listed'])
+    wait_until_settled(flows)
+    assert all(flow.state == 'reset' for _, flow in flows)
+
+
 @then('within 3 s no new flow reaches the target or the route')
 def check_drained(context):
     def is_in_force():
