Keep the last routes when a configuration has no list of them

What callers saw: `routes` that are a text or an object take all routes away, so that all flows are refused; a number makes the follower fail and list all facts again for as long as it stands there, and so do `services` that are no list.

Cause: the loaders iterated over whatever the field held.

Change: a field that holds no list is an error with its name. Without readable routes the configuration in force is confirmed, as an unchanged one is.

Result: "Routes that are <routes> leave the last ones in force" (3 cases) and "Services that are no list leave the routes in force" fail without the change, and pass with it.

--- a/cornelgap/platform/objects.py
+++ b/cornelgap/platform/objects.py
@@ -65,11 +65,18 @@
 def load_routes(spec):
     """Load the routes of a configuration.
 
-    :returns: tuple (list of :class:`Route`, list of :class:`CodedError`).
+    :returns: tuple (list of :class:`Route`, list of :class:`CodedError`);
+        None instead of the first list if the configuration has no readable
+        list of routes.
     """
+    try:
+        items = read_list(spec, 'routes')
+    except _MALFORMED as exc:
+        place = f'{CONFIG_KIND}/{CONFIG_NAME} routes'
+        return None, [CodedError(Code.CFG_BAD_VALUE, str(exc), place)]
     routes = []
     errors = []
-    for position, item in enumerate(spec.get('routes') or ()):
+    for position, item in enumerate(items):
         place = f'{CONFIG_KIND}/{CONFIG_NAME} routes.{position}'
         try:
             policy, policy_errors = load_policy(item, place)
@@ -144,6 +151,19 @@
     return check_number(found, MAX_WEIGHT)
 
 
+def read_list(spec, field):
+    """Return the list in a field of a configuration; without one, no items.
+
+    :raises ValueError: if the field holds something else.
+    """
+    found = spec.get(field)
+    if found is None:
+        return []
+    if not isinstance(found, list):
+        raise ValueError(f'{_shorten(found)} is no list')
+    return found
+
+
 def load_version(spec):
     """Load the operator's number of a configuration.
 
@@ -164,9 +184,14 @@
         :class:`CodedError`).  A service that tells nothing readable is left
         out; its targets are then cold for as long as they say themselves.
     """
+    try:
+        items = read_list(spec, 'services')
+    except _MALFORMED as exc:
+        place = f'{CONFIG_KIND}/{CONFIG_NAME} services'
+        return {}, [CodedError(Code.CFG_BAD_VALUE, str(exc), place)]
     warmups = {}
     errors = []
-    for position, item in enumerate(spec.get('services') or ()):
+    for position, item in enumerate(items):
         try:
             warmups[check_text(item['name'])] = Warmup(
                 check_number(item.get('warmup_s', 0), MAX_WARMUP_MS / 1000),
--- a/cornelgap/platform/sources.py
+++ b/cornelgap/platform/sources.py
@@ -144,6 +144,9 @@
         routes, route_errors = objects.load_routes(spec)
         warmups, warmup_errors = objects.load_warmups(spec)
         self._log_errors(errors + route_errors + warmup_errors)
+        if routes is None:
+            # The last configuration that could be read stays in force.
+            return RoutesKnown(None, None, sent)
         revision = main[0]['meta']['revision']
         stamp = ConfigStamp(version, listing.era, revision)
         return RoutesKnown(routes, stamp, sent, warmups)
--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -23,6 +23,26 @@
       | weight  | "1"          |
       | weight  | true         |
 
+  Scenario Outline: Routes that are <routes> leave the last ones in force
+    Guards against a configuration that nobody can read taking all routes away.
+    Given a store with 3 targets that lists 10 objects a page
+    When a source lists it
+    And the configuration is replaced by one whose routes are <routes>
+    Then the next watch leaves the routes as they are, and is the last call
+
+    Examples: No list
+      | routes         |
+      | "none"         |
+      | {"443": "r"}   |
+      | 7              |
+
+  Scenario: Services that are no list leave the routes in force
+    Guards against a field beside the routes that hides them.
+    Given a store with 3 targets that lists 10 objects a page
+    And the configuration has services that are no list
+    When a source lists it
+    Then it has 3 targets and the configuration
+
   Scenario: A nested value is told without being quoted
     Guards against an error message whose making fails for a value that the
     parser could read.
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -2,12 +2,15 @@
 
 import json
 
-from behave import given, then
+from behave import given, then, when
 
 from cornelgap.core.errors import Code
+from cornelgap.forwarding.facts import RoutesKnown
 from cornelgap.platform.objects import load_registration, load_routes
 from features.proofs import foreign_entries as foreign
 
+WAIT_S = 0.2
+
 
 @given('the configuration has a second route whose {field} is {value}')
 def add_bad_route(context, field, value):
@@ -31,6 +34,31 @@
     assert place in exc.place and field in exc.text, exc
 
 
+@when('the configuration is replaced by one whose routes are {value}')
+def replace_routes(context, value):
+    spec = {'version': 7, 'routes': json.loads(value)}
+    context.store.put('config', 'main', spec)
+
+
+@then('the next watch leaves the routes as they are, and is the last call')
+def check_routes_kept(context):
+    (fact,) = [
+        fact
+        for fact in context.source.watch_facts(WAIT_S)
+        if isinstance(fact, RoutesKnown)
+    ]
+    assert fact.routes is None and fact.stamp is None
+    calls = context.client.calls
+    list(context.source.watch_facts(WAIT_S))
+    assert context.client.calls == calls + 1
+
+
+@given('the configuration has services that are no list')
+def put_bad_services(context):
+    spec = {'version': 2, 'routes': [foreign.make_route(443)], 'services': 7}
+    context.store.put('config', 'main', spec)
+
+
 @then('a registration with any field nested {depth:d} deep names no target')
 def check_deep_fields(context, depth):
     nested = []
