Refuse a shared key that is too short or too long

What callers saw: an entry of the shared key with more than 64 bytes ends every instance with the first message that it signs, at each start; an empty one lets anyone sign messages between instances.

Cause: the key's reader checked that the entry holds hex digits, not how many, and took only the errors that were thought of for a failed try.

Change: 16 to 64 bytes, as the signature takes them; whatever else an entry raises is a failed try, and the instance works without a key meanwhile.

Result: "A shared key that is <value> is not used": 3 of 6 cases fail without the change (no bytes, 3 bytes, 65 bytes), none with it.

--- a/cornelgap/platform/keys.py
+++ b/cornelgap/platform/keys.py
@@ -2,19 +2,21 @@
 
 import logging
 import os
+from hashlib import blake2b
 
 from msgspec import Struct
 
 from cornelgap.kernel.named_actor import NamedActor
 from cornelgap.kernel.names import tell_actor
-from cornelgap.platform.store import Conflict, StoreError
+from cornelgap.platform.store import Conflict
 
 KEYS = 'keys'
 KIND = 'cornelgap-keys'
 NAME = 'peers'
 KEY_BYTES = 32
+MIN_KEY_BYTES = 16
+MAX_KEY_BYTES = blake2b.MAX_KEY_SIZE
 RETRY_S = 0.5
-_FAILED = (StoreError, KeyError, TypeError, ValueError)
 _LOG = logging.getLogger('cornelgap.node')
 
 
@@ -69,7 +71,9 @@
     while True:
         try:
             return _read_or_make(client, known)
-        except _FAILED as exc:
+        except Exception as exc:
+            # The entry may hold anything; whatever it raises, the instance
+            # works without a key.
             if not failing:
                 _LOG.warning('node: no key yet', extra={'error': repr(exc)})
             failing = True
@@ -93,4 +97,18 @@
             # Another instance was first; its key holds for all.
             found = client.read_object(KIND, NAME)
     client.close()
-    return bytes.fromhex(found['spec']['key'])
+    return parse_key(found['spec']['key'])
+
+
+def parse_key(text):
+    """Read a key from hex digits.
+
+    :raises ValueError: if it has no usable length.  Messages cannot be
+        signed with a longer one, and anyone could forge them with none.
+    """
+    key = bytes.fromhex(text)
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        raise ValueError(
+            f'{len(key)} bytes, not {MIN_KEY_BYTES} to {MAX_KEY_BYTES}'
+        )
+    return key
--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -43,6 +43,23 @@
     When a source lists it
     Then it has 3 targets and the configuration
 
+  Scenario Outline: A shared key that is <value> is not used
+    Guards against a key with which no message can be signed, which ended
+    every instance, and one with which anyone can sign.
+    Given a store with 3 targets that lists 10 objects a page
+    And the entry of the key holds <value>
+    When an instance learns the key after 3 tries
+    Then it has the key that was written then
+
+    Examples: Lengths and types
+      | value          |
+      | ""             |
+      | "6b6579"       |
+      | 65 bytes       |
+      | "no digits"    |
+      | ["00"]         |
+      | null           |
+
   Scenario: A nested value is told without being quoted
     Guards against an error message whose making fails for a value that the
     parser could read.
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -6,10 +6,12 @@
 
 from cornelgap.core.errors import Code
 from cornelgap.forwarding.facts import RoutesKnown
+from cornelgap.platform.keys import KEY_BYTES, KIND, NAME, learn_key
 from cornelgap.platform.objects import load_registration, load_routes
 from features.proofs import foreign_entries as foreign
 
 WAIT_S = 0.2
+WRITTEN_KEY = bytes(range(KEY_BYTES))
 
 
 @given('the configuration has a second route whose {field} is {value}')
@@ -59,6 +61,30 @@
     context.store.put('config', 'main', spec)
 
 
+@given('the entry of the key holds {value}')
+def put_key(context, value):
+    found = '00' * 65 if value == '65 bytes' else json.loads(value)
+    context.store.put(KIND, NAME, {'key': found})
+
+
+@when('an instance learns the key after {count:d} tries')
+def learn_after(context, count):
+    tries = []
+
+    def pause(seconds):
+        tries.append(seconds)
+        if len(tries) == count:
+            context.store.put(KIND, NAME, {'key': WRITTEN_KEY.hex()})
+
+    context.key = learn_key(context.client, pause)
+    assert len(tries) == count
+
+
+@then('it has the key that was written then')
+def check_key(context):
+    assert context.key == WRITTEN_KEY
+
+
 @then('a registration with any field nested {depth:d} deep names no target')
 def check_deep_fields(context, depth):
     nested = []
