Refuse an answer of the store whose fields have another type

What callers would see: an answer of a proxy in front of the store with `items` that are an empty object, text or 0 is taken for a list of no targets, so that every target counts as gone and its flows are reset; with a `store_revision` that is no number the directory's actor ends, and the process.

Cause: the client passed both fields on as they came.

`items` may be missing or null, where a store has no objects of the kind.

--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -132,12 +132,12 @@
             if body is None:
                 # No object of this kind was ever made.
                 return Listing(objects, first_revision or 0, self._era)
-            page = body.get('items') or []
+            page = _read_items(body)
             objects += page
             if first_revision is None:
                 # Later pages may be newer; watching from the first page's
                 # revision repeats a change rather than missing one.
-                first_revision = body['store_revision']
+                first_revision = _read_revision(body)
             if not body.get('more') or not page:
                 return Listing(objects, first_revision, self._era)
             query = {**fixed, 'after': _find_last_name(page)}
@@ -166,7 +166,7 @@
             for event in body.get('events') or ()
             if isinstance(event, dict)
         ]
-        return Events(events, body['store_revision'], self._era)
+        return Events(events, _read_revision(body), self._era)
 
     def create_object(self, kind, name, spec):
         """Create an object.
@@ -281,6 +281,22 @@
     return int(digits) if len(digits) <= MAX_DIGITS else digits
 
 
+def _read_items(body):
+    found = body.get('items')
+    if found is None:
+        return []
+    if not isinstance(found, list):
+        raise StoreError('items are no list', answered=True)
+    return found
+
+
+def _read_revision(body):
+    found = body['store_revision']
+    if not isinstance(found, int) or isinstance(found, bool):
+        raise StoreError('store_revision is no whole number', answered=True)
+    return found
+
+
 def _find_last_name(page):
     """Return the name of the last entry of a page that can be read."""
     for item in reversed(page):
--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -60,6 +60,24 @@
       | ["00"]         |
       | null           |
 
+  Scenario Outline: An answer whose <field> is <value> ends nothing
+    Guards against an answer of a proxy that lets every target seem to be gone,
+    or that ends the task that keeps the directory.
+    Given a store with 3 targets that lists 10 objects a page
+    When a source lists it
+    And the store answers with <field> set to <value>
+    Then a list and a watch fail with a code
+
+    Examples: Fields of another type
+      | field          | value   |
+      | store_revision | "9"     |
+      | store_revision | null    |
+      | store_revision | true    |
+      | store_revision | [9]     |
+      | items          | {}      |
+      | items          | ""      |
+      | items          | 0       |
+
   Scenario: A nested value is told without being quoted
     Guards against an error message whose making fails for a value that the
     parser could read.
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from cornelgap.core.errors import Code
+from cornelgap.core.errors import Code, CodedError
 from cornelgap.forwarding.facts import RoutesKnown
 from cornelgap.platform.keys import KEY_BYTES, KIND, NAME, learn_key
 from cornelgap.platform.objects import load_registration, load_routes
@@ -85,6 +85,31 @@
     assert context.key == WRITTEN_KEY
 
 
+@when('the store answers with {field} set to {value}')
+def bend_answers(context, field, value):
+    for name in ('list', 'watch'):
+        right = getattr(context.store, name)
+
+        def answer(*args, right=right):
+            return {**right(*args), field: json.loads(value)}
+
+        setattr(context.store, name, answer)
+    context.bent = field
+
+
+@then('a list and a watch fail with a code')
+def check_refused(context):
+    calls = [lambda: list(context.source.list_facts())]
+    if context.bent == 'store_revision':
+        calls.append(lambda: list(context.source.watch_facts(WAIT_S)))
+    for call in calls:
+        try:
+            call()
+        except CodedError:
+            continue
+        raise AssertionError('the answer was taken')
+
+
 @then('a registration with any field nested {depth:d} deep names no target')
 def check_deep_fields(context, depth):
     nested = []
