--- a/cornelgap/platform/store.py
+++ b/cornelgap/platform/store.py
@@ -6,11 +6,11 @@
 """
 
 import json
-import re
 
 from msgspec import Struct
 
 from cornelgap.core.errors import Code, CodedError
+from cornelgap.core.json_text import prune_nesting
 from cornelgap.platform.http_calls import HttpConnection, HttpError
 
 PATH = '/-/objects/'
@@ -26,17 +26,6 @@
 MAX_DIGITS = 300
 """Longest whole number that is read as one; longer ones stay text."""
 
-MAX_NESTING = 32
-"""Greatest depth of lists and objects that is read; an answer with the
-objects of this system has ten levels at most."""
-
-_TOKENS = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
-"""Texts, and the characters that begin or end a list or an object."""
-
-
-_OPENING = frozenset('[{')
-_CLOSING = frozenset(']}')
-
 
 class Listing(Struct, frozen=True):
     """All objects of a kind at one revision.
@@ -240,30 +229,6 @@
         return json.loads(prune_nesting(text), parse_int=_parse_int)
 
 
-def prune_nesting(text):
-    """Replace what is nested more than :data:`MAX_NESTING` deep by null.
-
-    :param text: JSON.
-    :raises ValueError: if such a list or object has no end.
-    """
-    parts = []
-    kept_to = 0
-    depth = 0
-    for token in _TOKENS.finditer(text):
-        char = token[0]
-        if char in _OPENING:
-            depth += 1
-            if depth == MAX_NESTING + 1:
-                parts += (text[kept_to : token.start()], 'null')
-        elif char in _CLOSING:
-            if depth == MAX_NESTING + 1:
-                kept_to = token.end()
-            depth -= 1
-    if depth > MAX_NESTING:
-        raise ValueError('nested without an end')
-    return ''.join((*parts, text[kept_to:]))
-
-
 def parse_era(fields, known):
     """Read how often the store was restored from a backup.
 
