Explain logs with lines of other programs in them

What operators saw: `cornelgap explain` ends with a traceback for a line whose value nests too deeply, or in which `why`, `target`, `silent` or another field by which lines are selected has another type.

Cause: the loader of log lines checked none of it.

Result: "A line of another program ..." (8 cases): 7 fail without the change, none with it.

--- a/cornelgap/operators/log_lines.py
+++ b/cornelgap/operators/log_lines.py
@@ -11,9 +11,20 @@
 from operator import attrgetter
 
 from cornelgap.core.errors import Code, CodedError
+from cornelgap.core.json_text import prune_nesting
 
 TIME_FORMAT = '%Y-%m-%d %H:%M:%S,%f'
 _OWN_FIELDS = frozenset(('time', 'level', 'part', 'message', 'instance'))
+_FIELD_TYPES = {
+    'time': str,
+    'message': str,
+    'instance': str,
+    'flow': str,
+    'target': str,
+    'why': str,
+    'silent': list,
+}
+"""Types of the fields by which lines are selected and explained."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +77,8 @@
 
 
 def _load_line(text, place):
-    content = json.loads(text)
+    content = json.loads(prune_nesting(text))
+    _check_types(content)
     fields = {
         name: found
         for name, found in content.items()
@@ -79,3 +91,14 @@
         fields=fields,
         place=place,
     )
+
+
+def _check_types(content):
+    """Check a line that another program may have written.
+
+    :raises TypeError: if a field has another type than in lines of ours.
+    """
+    for name, kind in _FIELD_TYPES.items():
+        found = content.get(name)
+        if found is not None and not isinstance(found, kind):
+            raise TypeError(f'{name} is no {kind.__name__}')
--- a/features/explain.feature
+++ b/features/explain.feature
@@ -49,6 +49,32 @@
       | 11:00:04.200000 | e3       | zone returned                       |
     And it ends with "no target was in reach and the zone was leaving"
 
+  Scenario Outline: A line of another program has <field> of another type
+    Guards against one line for which the whole explanation fails.
+    Given the log of "e4"
+      """
+      {"time": "2026-12-03 10:00:00,300", "message": "m", "instance": "e2", "why": "w", <field>: <value>}
+      """
+    When "100.64.0.7:40001" is explained
+    Then the explanation has 4 lines, and "CFG-001" names "e4.log:1"
+
+    Examples: Fields by which lines are selected
+      | field      | value |
+      | "message"  | [1]   |
+      | "instance" | {}    |
+      | "flow"     | 7     |
+      | "target"   | [[]]  |
+      | "why"      | [1]   |
+      | "silent"   | 7     |
+      | "time"     | 7     |
+
+  Scenario: A line of another program nests without end
+    Guards against a value that no parser reads, or that cannot be printed.
+    Given the log of "e4" with a value nested 990 deep
+    And the log of "e5" with a value nested 100000 deep
+    When "100.64.0.7:40001" is explained
+    Then the explanation has 6 lines, and "CFG-008" names no log
+
   Scenario: A caller that no line names
     A wrong port must not look like a flow without any trouble.
     When "100.64.0.7:4000" is explained
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from cornelgap.operators.main import run_command
+from standins.object_store import RawJson, encode_content
 
 
 def get_path(context, name):
@@ -23,6 +24,18 @@
     get_path(context, name).write_text(context.text)
 
 
+@given('the log of "{name}" with a value nested {depth:d} deep')
+def keep_nested_log(context, name, depth):
+    line = {
+        'time': '2026-12-03 10:00:00,301',
+        'message': 'forwarding: flow placed',
+        'instance': name,
+        'flow': '100.64.0.7:40001>198.18.0.1:443',
+        'nested': RawJson('[' * depth + ']' * depth),
+    }
+    get_path(context, name).write_bytes(encode_content(line))
+
+
 @when('"{subject}" is explained')
 def explain(context, subject, more=()):
     paths = [*sorted(context.log_folder.iterdir()), *more]
@@ -70,3 +83,9 @@
     assert len(context.told) == count + 1
     assert code in context.complaints
     assert name in context.complaints
+
+
+@then('the explanation has {count:d} lines, and "{code}" names no log')
+def check_whole(context, count, code):
+    assert len(context.told) == count + 1, context.told
+    assert code not in context.complaints
