Escape label values on the metrics pages

What operators saw: an order to drain a zone whose name holds a quote or a line break makes the whole metrics page unreadable, and one with a lone surrogate leaves it without an answer, for as long as the order stands.

Cause: the metrics library writes label values as they are.

Change: backslashes, quotes and line breaks are escaped as the text format asks; what no encoding can express becomes a question mark.

--- a/cornelgap/kernel/metrics.py
+++ b/cornelgap/kernel/metrics.py
@@ -119,7 +119,19 @@
         collector.values.clear()
         for labels, value in series.items():
             names = self._metrics[name].labels
-            collector.set_value(dict(zip(names, labels, strict=True)), value)
+            escaped = map(escape_label, labels)
+            collector.set_value(dict(zip(names, escaped, strict=True)), value)
+
+
+def escape_label(value):
+    """Escape a label value for the text format; the library does not.
+
+    :param value: any value; a text may hold quotes, line breaks, and
+        surrogates, which no encoding of a page can express.
+    """
+    text = str(value).encode(errors='replace').decode()
+    escaped = text.replace('\\', r'\\').replace('"', r'\"')
+    return escaped.replace('\n', r'\n')
 
 
 def format_catalogue(catalogue):
--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -88,3 +88,9 @@
     Guards against an error message whose making fails for a value that the
     parser could read.
     Then a registration with any field nested 100000 deep names no target
+
+  Scenario: A drained zone with an odd name leaves the metrics readable
+    Guards against one order of another writer that hides all metrics.
+    Given the name of a drained zone with quotes, line breaks and a surrogate
+    When the metrics page is made
+    Then each of its lines has the form that collectors read
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -1,11 +1,13 @@
 """Steps on entries and answers of other writers."""
 
 import json
+import re
 
 from behave import given, then, when
 
 from cornelgap.core.errors import Code, CodedError
 from cornelgap.core.json_text import TOKENS
+from cornelgap.forwarding import metric_page
 from cornelgap.forwarding.facts import RoutesKnown
 from cornelgap.platform.keys import KEY_BYTES, KIND, NAME, learn_key
 from cornelgap.platform.objects import load_registration, load_routes
@@ -14,6 +16,9 @@
 
 WAIT_S = 0.2
 WRITTEN_KEY = bytes(range(KEY_BYTES))
+METRIC_LINE = re.compile(
+    r'(#.*|\w+(\{\w+="([^"\\\n]|\\[\\"n])*"\})? [-+.\w]+)?'
+)
 
 
 @given('the configuration has a second route whose {field} is {value}')
@@ -142,3 +147,23 @@
         }
         found, errors = load_registration(item, 100)
         assert found.target is None and errors
+
+
+@given('the name of a drained zone with quotes, line breaks and a surrogate')
+def name_zone(context):
+    context.zone = 'a"b\\c\nd\ud800e\u00e9'
+
+
+@when('the metrics page is made')
+def make_metrics(context):
+    gauges = {'zone_drained': {context.zone: 1, 'plain': 1}}
+    samples = metric_page.make_samples({}, gauges)
+    context.page = metric_page.make_page(samples).decode()
+
+
+@then('each of its lines has the form that collectors read')
+def check_metrics(context):
+    lines = context.page.split('\n')
+    assert all(map(METRIC_LINE.fullmatch, lines)), lines
+    (line,) = [line for line in lines if 'a\\"b' in line]
+    assert line.endswith('{zone="a\\"b\\\\c\\nd?e\u00e9"} 1'), line
