Draw the entries of other writers at random

A list of known bad values does not show what is missing from it. The scenario draws any values, in any field of registrations, routes, configurations and orders to drain, among them lists 100,000 deep, numbers of 5,000 digits, lone surrogates and 0.4 MB of one text; lets one instance read them and tell them to a second one; and checks that both keep the good targets and routes, place flows, and make beats and metrics. Instances also start, and follow each other as the one that reads the store, beside entries that no parser reads.

"Instances start and take over beside entries that no parser reads" passes on and fails without, as do the six guards that brought: "A value nested" (2 of 4), "A nested value of any depth", "The store is away for hours", "Another writer leaves an entry", "Any datagram of a peer".

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -3,6 +3,11 @@
   Any program may write to the store, and each instance reads the same
   answer: an error that ends one process ends all of them, at each start.
 
+  Scenario: Any entry of another writer leaves the others in force
+    Guards against a value of any type, depth or size that ends an actor,
+    hides a target or a route, or breaks what an instance tells its peers.
+    Then hypothesis finds no foreign entries that harm an instance
+
   Scenario Outline: A route with a bad <field> is left out, alone
     Guards against values that end the packet actor of every instance as soon
     as the route is used.
--- a/features/forwarding_processes.feature
+++ b/features/forwarding_processes.feature
@@ -65,6 +65,17 @@
     And the flows that the target holds go on
     And no instance has ended
 
+  Scenario: Instances start and take over beside entries that no parser reads
+    Guards against an error at the first list, which ends each new process.
+    Given another writer leaves entries with nested values
+    When instance "n1" ends and starts again
+    And instance "n2" ends and starts again
+    And instance "n3" ends and starts again
+    And 40 flows are opened and each makes 1 request
+    And a target begins to drain and a route is dropped
+    Then within 3 s no new flow reaches the target or the route
+    And no instance has ended
+
   Scenario: A route names a list as its service
     Guards against a field of another type that ends all instances.
     When 40 flows are opened and each makes 1 request
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -1,6 +1,7 @@
 """Steps on entries and answers of other writers."""
 
 import json
+import logging
 import re
 
 from behave import given, then, when
@@ -27,6 +28,25 @@
 )
 
 
+@then('hypothesis finds no foreign entries that harm an instance')
+def check_entries(context):
+    # Each entry that is left out is logged once, thousands in all.
+    logging.disable(logging.WARNING)
+    context.cleanups.append(lambda: logging.disable(logging.NOTSET))
+
+    @SEARCH
+    @vary(
+        foreign.REGISTRATIONS,
+        foreign.ROUTES,
+        foreign.CONFIGURATIONS,
+        foreign.DRAINED,
+    )
+    def search(registrations, route, configuration, drained):
+        foreign.check_harmless(registrations, route, configuration, drained)
+
+    search()
+
+
 @then('hypothesis finds no value in a snapshot that harms an instance')
 def check_snapshots(context):
     @SEARCH
--- a/features/steps/forwarding_process_steps.py
+++ b/features/steps/forwarding_process_steps.py
@@ -592,6 +592,7 @@
     wait_for(lambda: all_ready(context), WAIT_S, 'all instances are ready')
 
 
+@given('another writer leaves entries with nested values')
 @when('another writer leaves entries with nested values')
 def leave_nested_entries(context):
     nested = RawJson('[' * 2000 + ']' * 2000)
