--- a/features/path_loss.feature
+++ b/features/path_loss.feature
@@ -30,6 +30,11 @@
     Then the proof checkers have no objection
     But they object once the guard "overload-doubt" is taken out
 
+  Scenario: Two callers of an instance of few flows lose all their answers
+    Guards against flows that are reset before another instance has answered.
+    When the proof story "few flows on lossy path" is played
+    Then the proof checkers have no objection
+
   Scenario: A full target answers no opening
     Guards against taking a full target for a crashed one.
     When the proof story "full target" is played
--- a/features/proofs/path_loss_stories.py
+++ b/features/proofs/path_loss_stories.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter
+from types import SimpleNamespace
 
 from cornelgap.forwarding.packets import Reset
 from features.proofs.forwarding_desk import Desk, make_route, make_target
@@ -30,6 +31,11 @@
 PERIOD_S = 2.0
 """Each caller sends a request so often."""
 
+LOSSY_ENDS_S = 4.0
+SMALL_STEP_S = 0.01
+SERVED_S = 0.3
+"""Each caller whose answers arrive sends a request so often."""
+
 CRASHES_S = 2.5
 LAPSES_S = 3.0
 """When a target crashes, and how long its registration then stays."""
@@ -225,3 +231,65 @@
     desk.engine.failure_detector.overloaded = False
     reset = list_reset(desk)
     return ['flows were reset on what too much load explains'] if reset else []
+
+
+def play_few_flows_on_lossy_path():
+    """Two callers of one instance lose all answers for a second.
+
+    The targets answer the callers of the other instance of the zone.
+    """
+    far = tuple(make_target(number, zone='b') for number in (21, 22))
+    few, other = desks = [Desk(seed=seed) for seed in (1, 2)]
+    for rank, desk in enumerate(desks):
+        desk.set_routes(make_route('search'))
+        desk.set_targets(*far)
+        desk.engine.note_other_instances({}, 2, 1, rank)
+    flows = (40001, far[0]), (40002, far[0]), (40003, far[0]), (40004, far[1])
+    for caller, target in flows:
+        few.send(caller, target, ack=1)
+    events = [
+        (begun + after, few, caller, target, 1, 100)
+        for begun, (caller, target) in ((2, flows[0]), (2.1, flows[3]))
+        for after in (0, *REPEATS_S)
+    ]
+    for number, target in enumerate(far):
+        other.send(41001 + number, target, ack=1)
+        events += _plan_served(other, 41001 + number, target, 0.15 * number)
+    return find_broken([_play_events(desks, events)])
+
+
+def _plan_served(desk, caller, target, begun):
+    """Plan requests that are answered at once.
+
+    :returns: list of events as of :func:`_play_events`.
+    """
+    events = []
+    for number in range(int((LOSSY_ENDS_S - begun) / SERVED_S)):
+        at = begun + SERVED_S * number
+        ack = 1 + 500 * number
+        events.append((at, desk, caller, target, ack, 100))
+        events.append((at + 0.03, desk, caller, target, ack + 500, 0))
+    return events
+
+
+def _play_events(desks, events):
+    """Play packets, and what instances tell each other of them.
+
+    :param events: tuples (time, desk, caller, target, acknowledgement, size).
+    :returns: object with the callers whose flows were reset.
+    """
+    events = sorted(events, key=lambda event: event[0])
+    resets = set()
+    for step in range(int(LOSSY_ENDS_S / SMALL_STEP_S)):
+        for desk in desks:
+            desk.pass_time(SMALL_STEP_S)
+            desk.confirm()
+        while events and events[0][0] <= step * SMALL_STEP_S:
+            _, desk, caller, target, ack, size = events.pop(0)
+            effect = desk.send(
+                caller, target, ack=ack, size=size, seq=1000 + ack
+            )
+            if isinstance(effect, Reset):
+                resets.add(caller)
+        resets.update(*tell_evidence(desks))
+    return SimpleNamespace(resets=resets)
