--- a/features/proofs/foreign_entries.py
+++ b/features/proofs/foreign_entries.py
@@ -104,7 +104,7 @@
     }
 
 
-def bend(whole):
+def vary_fields(whole):
     """Draw a value, or an object in which some fields have other values."""
     fields = st.dictionaries(
         st.sampled_from(sorted(whole)) | TEXTS, VALUES, max_size=3
@@ -112,13 +112,13 @@
     return VALUES | fields.map(lambda changes: {**whole, **changes})
 
 
-SHARES = bend({'service': 'search', 'weight': 1})
-ROUTES = bend(make_route(OTHER_PORT)) | st.lists(SHARES, max_size=3).map(
+SHARES = vary_fields({'service': 'search', 'weight': 1})
+ROUTES = vary_fields(make_route(OTHER_PORT)) | st.lists(SHARES, max_size=3).map(
     lambda shares: {**make_route(OTHER_PORT), 'split': shares}
 )
 REGISTRATIONS = st.dictionaries(
     st.text(min_size=1, max_size=12) | st.just('i-000000a1'),
-    bend(make_spec()),
+    vary_fields(make_spec()),
     max_size=4,
 )
 CONFIGURATIONS = st.fixed_dictionaries(
@@ -233,9 +233,9 @@
 
 
 def check_snapshot(position, value):
-    """Check that an instance adopts or refuses a snapshot with a bent value.
+    """Check that an instance adopts or refuses a snapshot with one value replaced.
 
-    :param position: number of the value to bend, among all in the snapshot.
+    :param position: number of the value to replace, among all in the snapshot.
     """
     good = {name: make_spec(number) for number, name in enumerate(GOOD, 1)}
     reader = Instance()
--- a/features/steps/foreign_entry_steps.py
+++ b/features/steps/foreign_entry_steps.py
@@ -129,7 +129,7 @@
 
 
 @when('the store answers with {field} set to {value}')
-def bend_answers(context, field, value):
+def replace_field(context, field, value):
     for name in ('list', 'watch'):
         right = getattr(context.store, name)
 
@@ -137,13 +137,13 @@
             return {**right(*args), field: json.loads(value)}
 
         setattr(context.store, name, answer)
-    context.bent = field
+    context.replaced = field
 
 
 @then('a list and a watch fail with a code')
 def check_refused(context):
     calls = [lambda: list(context.source.list_facts())]
-    if context.bent == 'store_revision':
+    if context.replaced == 'store_revision':
         calls.append(lambda: list(context.source.watch_facts(WAIT_S)))
     for call in calls:
         try:
