Judge a probe of the soak by when it was sent, not by when it was let through

The instance logs no opening after it has adopted the configuration without the route. The check took the later time and saw a version come back.

Change: an answer to a probe is held against what had been seen when the instance sent it.

Result: "A probe is held up until its route is dropped" checks both, and fails without the change, which has no such time.

--- a/features/proofs/soak_checks.py
+++ b/features/proofs/soak_checks.py
@@ -21,8 +21,8 @@
     :ivar dropped: time by service whose route is dropped.
     :ivar undropped: time by service whose route came back last.
     :ivar versions: tuples (time, whether the route of probes is there).
-    :ivar seen: the least version in force by instance that explains all
-        probes of this lifetime.
+    :ivar seen: by instance, for each probe of this lifetime the time and the
+        least version in force that explains it.
     :ivar cuts: time until which a zone's ways to another one's targets
         count as cut, by tuple (zone of instances, zone of targets).
     :ivar murky_until: until when a refused probe may be load shed.
@@ -47,7 +47,7 @@
         self.dropped = {}
         self.undropped = {}
         self.versions = []
-        self.seen = Counter()
+        self.seen = defaultdict(list)
         self.last_probe = {}
         self.cuts = {}
         self.murky_until = 0
@@ -84,7 +84,7 @@
         self._check_since(self.drained.get(target.zone), 'zone drains', now)
         self._check_since(self.dropped.get(target.service), 'dropped', now)
         if target.service == 'probe':
-            self.note_probe(target.via, True, now)
+            self.note_probe(target.via, True, now, target.sent_at)
 
     def note_reset(self, flow, now):
         """Check a reset of the system's own."""
@@ -143,18 +143,24 @@
         if since is not None and self.is_due(since, now):
             self.report(f'new flow {now - since:.1f} s after: {what}')
 
-    def note_probe(self, via, present, now):
-        """Check whether a probe's answer fits a version that may be known."""
+    def note_probe(self, via, present, now, sent_at=None):
+        """Check whether a probe's answer fits a version that may be known.
+
+        :param sent_at: when the instance sent it, if the path held it up: it
+            tells nothing of what the instance did after that.
+        """
+        sent_at = now if sent_at is None else sent_at
         self.last_probe[via] = present
         due = [
             number
             for number, (at, _) in enumerate(self.versions)
             if self.is_due(at, now)
         ]
-        least = max(self.seen[via], *due, 0)
+        known = [number for at, number in self.seen[via] if at <= sent_at]
+        least = max(known + due, default=0)
         for number in range(least, len(self.versions)):
             if self.versions[number][1] is present:
-                self.seen[via] = number
+                self.seen[via].append((now, number))
                 return
         self.report(
             f'{via}: probe route {present=}, version {least} or later is due'
--- a/features/proofs/soak_ends.py
+++ b/features/proofs/soak_ends.py
@@ -60,6 +60,7 @@
         self.busy = self.full = self.slow = False
         self.draining_since = None
         self.via = ''
+        self.sent_at = 0
         self._tape = tape
         self._seqs = itertools.count(7000 * number, 100)
         self._running = 0
--- a/features/proofs/soak_world.py
+++ b/features/proofs/soak_world.py
@@ -204,7 +204,7 @@
         )
         one.ending = ''
         one.paused = False
-        self.tape.seen[one.host] = 0
+        self.tape.seen.pop(one.host, None)
 
     def send(self, one, signum):
         """Send a signal, and note what it leads to."""
@@ -383,13 +383,14 @@
             cut = one and self.tape.is_cut(one.zone, end.zone, now)
             if one is None or cut or self.rng.random() < one.loss:
                 continue
-            pass_on = partial(self._pass_on, end, datagram, sender[0])
+            pass_on = partial(self._pass_on, end, datagram, sender[0], now)
             if one.late:
                 self.put_later(now + self.rng.uniform(0.05, 0.25), pass_on)
             else:
                 pass_on()
 
-    def _pass_on(self, target, datagram, via):
+    def _pass_on(self, target, datagram, via, sent_at):
         if target.alive:
             target.via = via
+            target.sent_at = sent_at
             target.take(datagram, time.monotonic(), self.put_later)
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,6 +18,11 @@
       | seed | cause      |
       | 6    | none known |
 
+  Scenario: A probe is held up until its route is dropped
+    Guards against a violation that the soak's own delay of a packet causes.
+    Then a probe that was sent before a refusal is no violation
+    But one that was sent after it is
+
   Scenario: A checker objects to what a soak must never show
     Guards against a soak that is green because it sees nothing.
     Then each planted violation is reported once
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -105,3 +105,18 @@
         tape = soak_checks.Tape(1, {'h': 'a'})
         plant(tape, (1, 2, 3, 443))
         assert len(tape.found) == 1, (plant, tape.found)
+
+
+@then('a probe that was sent before a refusal is no violation')
+def check_held_up(context):
+    context.tape = soak_checks.Tape(0, {})
+    context.tape.versions += [(0, True), (5, False)]
+    context.tape.note_probe('h', False, 6)
+    context.tape.note_probe('h', True, 6.05, 5.8)
+    assert not context.tape.found, context.tape.found
+
+
+@then('one that was sent after it is')
+def check_reverted(context):
+    context.tape.note_probe('h', True, 6.2, 6.1)
+    assert len(context.tape.found) == 1
