--- a/review/6/case.py
+++ b/review/6/case.py
@@ -75,7 +75,7 @@
     if not world.wait_ready(world.instances):
         record.add('the instances did not become ready')
         return 2
-    route = ip_number('198.18.0.1')
+    route = ip_number('127.0.0.50')
     world.clients = Clients(
         world,
         f'{net}.2',
@@ -110,12 +110,12 @@
 
 def put_config(world, version, whole):
     """Write a configuration; return the time of its confirmation."""
-    routes = [make_route('r-kept', '198.18.0.1', 443, 'booking')]
+    routes = [make_route('r-kept', '127.0.0.50', 443, 'booking')]
     if whole:
         routes.append(
             make_route(
                 'r-returns',
-                '198.18.0.1',
+                '127.0.0.50',
                 PORT_THAT_RETURNS,
                 'booking',
                 'non_idempotent',
--- a/review/cold_2.py
+++ b/review/cold_2.py
@@ -37,7 +37,7 @@
         'warmup_s': WARMUP_S,
         'warmup_per_s': WARMUP_PER_S,
     }
-    route = make_route('r-search', '198.18.0.1', 443, 'search')
+    route = make_route('r-search', '127.0.0.50', 443, 'search')
     world.put_config(1, [route], [service])
 
 
@@ -61,7 +61,7 @@
     world.clients = Clients(
         world,
         f'{world.net}.2',
-        [(ip_number('198.18.0.1'), 443)],
+        [(ip_number('127.0.0.50'), 443)],
         per_s=OPENINGS_PER_S,
         pause_s=2.0,
         life_s=4.0,
